--- a/apps/dotterellead/entry_host.cc
+++ b/apps/dotterellead/entry_host.cc
@@ -44,10 +44,13 @@
 
 }  // namespace
 
-// Without the platform's log a non-idempotent request cannot be made safe, so it is refused.
+// Without the platform's log a non-idempotent request cannot be made safe, so
+// it is refused.
 class no_log_claim_gate : public claim_gate {
  public:
-  claim_decision Begin(const idempotency_key&, std::uint64_t, time_point) override {
+  claim_decision Begin(const idempotency_key&,
+                       std::uint64_t,
+                       time_point) override {
     return claim_refusal{503, run_state::kNotRun,
                          "this entry host has no platform log",
                          "start it with --log-address"};
@@ -62,7 +65,11 @@
   version_id Choose(const pool_id&, const route_id&, request_id) override {
     return version_id();
   }
-  void Record(const pool_id&, const route_id&, const version_id&, bool, microseconds) override {}
+  void Record(const pool_id&,
+              const route_id&,
+              const version_id&,
+              bool,
+              microseconds) override {}
 };
 
 class open_admission_gate : public admission_gate {
@@ -79,7 +86,12 @@
 
 class silent_observer : public request_observer {
  public:
-  void Answered(const tenant_id&, const pool_id&, const route_id&, int, microseconds, microseconds) override {}
+  void Answered(const tenant_id&,
+                const pool_id&,
+                const route_id&,
+                int,
+                microseconds,
+                microseconds) override {}
   void Refused(const tenant_id&, std::string_view) override {}
 };
 
@@ -93,7 +105,10 @@
       : settings_(std::move(s)),
         slots_(clock_),
         transport_(clock_),
-        balance_("balance", balance_machine(), clock_, kBalanceTick,
+        balance_("balance",
+                 balance_machine(),
+                 clock_,
+                 kBalanceTick,
                  [this](balance_machine::effect& e) {
                    std::visit([this](auto& answer) { slots_.Deliver(answer); },
                               e);
--- a/apps/dotterellead/entry_host.h
+++ b/apps/dotterellead/entry_host.h
@@ -13,9 +13,11 @@
   explicit entry_host(settings s);
   ~entry_host();
 
-  // Starts all duties and listeners. Throws unavailable_error if an address is in use.
+  // Starts all duties and listeners. Throws unavailable_error if an address is
+  // in use.
   void Start();
-  // Graceful shutdown: takes no new work, finishes what is in flight, stops all duties.
+  // Graceful shutdown: takes no new work, finishes what is in flight, stops all
+  // duties.
   void Stop();
 
  private:
--- a/apps/dotterellead/settings.cc
+++ b/apps/dotterellead/settings.cc
@@ -127,8 +127,9 @@
   s.host_list_address =
       CheckOptionalAddress("--host-list-address", raw.host_list_address);
   if (!s.log_address && raw.resources_file.empty()) {
-    throw invalid_setting_error("neither --log-address nor --resources is given",
-                                "name the platform's log");
+    throw invalid_setting_error(
+        "neither --log-address nor --resources is given",
+        "name the platform's log");
   }
   s.resources_file = raw.resources_file;
   s.choice_policy = raw.choice_policy;
--- a/apps/dotterellead/settings.h
+++ b/apps/dotterellead/settings.h
@@ -18,7 +18,8 @@
   socket_address operator_address;
   socket_address peer_address;
   std::vector<socket_address> peers;
-  // The platform's log and host list. Without a log the host serves only --resources.
+  // The platform's log and host list. Without a log the host serves only
+  // --resources.
   std::optional<socket_address> log_address;
   std::optional<socket_address> host_list_address;
   std::string resources_file;
@@ -31,8 +32,9 @@
   std::string peer_secret;
 };
 
-// Parses and checks all settings. Throws invalid_setting_error, naming the flag. Returns nullopt
-// with `exit_code` set if the process should end, as after --help.
+// Parses and checks all settings. Throws invalid_setting_error, naming the
+// flag. Returns nullopt with `exit_code` set if the process should end, as
+// after --help.
 std::optional<settings> ParseSettings(int argc, char** argv, int& exit_code);
 
 }  // namespace dotterellead
--- a/apps/dotterellead/slot_adapter.cc
+++ b/apps/dotterellead/slot_adapter.cc
@@ -3,9 +3,11 @@
 namespace dotterellead {
 namespace {
 
-// Time for the duty's own deadline refusal to arrive before this thread gives up.
+// Time for the duty's own deadline refusal to arrive before this thread gives
+// up.
 constexpr milliseconds kReplyMargin{100};
-// A release must reach the duty, or the slot stays taken; the ring drains within milliseconds.
+// A release must reach the duty, or the slot stays taken; the ring drains
+// within milliseconds.
 constexpr milliseconds kReleaseWait{5'000};
 
 }  // namespace
--- a/apps/dotterellead/slot_adapter.h
+++ b/apps/dotterellead/slot_adapter.h
@@ -17,7 +17,8 @@
   std::variant<assigned, refused> Acquire(const acquire& wanted) override;
   void Release(const release& result) override;
 
-  // Delivers the duty's answers; an assignment that nobody waits for any more is given back.
+  // Delivers the duty's answers; an assignment that nobody waits for any more
+  // is given back.
   void Deliver(const assigned& answer);
   void Deliver(const refused& answer);
 
--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -1,4 +1,5 @@
-// Slots of backend servers: which host may use them, which waiting request gets which.
+// Slots of backend servers: which host may use them, which waiting request gets
+// which.
 #ifndef DOTTERELLEAD_BALANCE_H_
 #define DOTTERELLEAD_BALANCE_H_
 
@@ -14,7 +15,8 @@
 
 namespace dotterellead {
 
-// ---- Messages ---------------------------------------------------------------------------------
+// ---- Messages
+// ---------------------------------------------------------------------------------
 
 // Asks for a slot for one attempt of a request.
 struct acquire {
@@ -69,7 +71,8 @@
   config_snapshot config;
 };
 
-// ---- Effects ----------------------------------------------------------------------------------
+// ---- Effects
+// ----------------------------------------------------------------------------------
 
 struct assigned {
   request_id request;
@@ -95,10 +98,11 @@
   refusal_reason reason = refusal_reason::kQueueFull;
 };
 
-// ---- Machine ----------------------------------------------------------------------------------
+// ---- Machine
+// ----------------------------------------------------------------------------------
 
-// Assigns slots of the configured servers to waiting requests, oldest first within a tenant and
-// tenants in turn.
+// Assigns slots of the configured servers to waiting requests, oldest first
+// within a tenant and tenants in turn.
 class balance_machine {
  public:
   using message =
--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -77,8 +77,9 @@
   if (where.slot < state.slots.size())
     state.slots[where.slot].user = request_id();
   if (m.result == attempt_result::kAnswered) {
-    state.latency_us += kLatencyWeight * (static_cast<double>(m.latency.count()) -
-                                          state.latency_us);
+    state.latency_us +=
+        kLatencyWeight *
+        (static_cast<double>(m.latency.count()) - state.latency_us);
   }
   state.cold = m.cold.value_or(state.cold);
   state.draining = m.draining;
@@ -144,10 +145,9 @@
     return false;
   best->slots[best_slot].user = m.request;
   in_use_[m.request] = {m.pool, best->spec.address, best_slot};
-  out.emplace_back(assigned{m.request, best->spec.address,
-                            slot_index(best_slot), best->spec.version,
-                            now.steady + limits::kLeaseTimeToLive,
-                            pool.max_run});
+  out.emplace_back(assigned{
+      m.request, best->spec.address, slot_index(best_slot), best->spec.version,
+      now.steady + limits::kLeaseTimeToLive, pool.max_run});
   return true;
 }
 
--- a/packages/config/include/dotterellead/config.h
+++ b/packages/config/include/dotterellead/config.h
@@ -1,4 +1,5 @@
-// Resources that operators declare, their JSON form, and the replicated table of them.
+// Resources that operators declare, their JSON form, and the replicated table
+// of them.
 #ifndef DOTTERELLEAD_CONFIG_H_
 #define DOTTERELLEAD_CONFIG_H_
 
@@ -13,13 +14,15 @@
 
 namespace dotterellead {
 
-// ---- Resource kinds ---------------------------------------------------------------------------
+// ---- Resource kinds
+// ---------------------------------------------------------------------------
 
 // Requests of one method and path prefix. A method of "*" matches all.
 struct route_spec {
   std::string method = "*";
   std::string path_prefix = "/";
-  // Whether running a request twice is harmless. Others need an Idempotency-Key.
+  // Whether running a request twice is harmless. Others need an
+  // Idempotency-Key.
   bool idempotent = false;
   bool operator==(const route_spec&) const = default;
 };
@@ -37,7 +40,8 @@
 // A pool of backend servers that serve one service for one tenant.
 struct pool_spec {
   tenant_id tenant;
-  // A request belongs to the pool whose host matches (or is empty) and whose path prefix is longest.
+  // A request belongs to the pool whose host matches (or is empty) and whose
+  // path prefix is longest.
   std::string host;
   std::string path_prefix = "/";
   // The first matching route counts.
@@ -61,7 +65,8 @@
   bool operator==(const data_centre_spec&) const = default;
 };
 
-// A move of a pool's traffic to a new version, to be done or rolled back by a deadline.
+// A move of a pool's traffic to a new version, to be done or rolled back by a
+// deadline.
 struct move_spec {
   pool_id pool;
   version_id from_version;
@@ -84,14 +89,15 @@
 // The names above in order of the variant.
 const std::vector<std::string>& KindNames();
 
-// Parses one JSON resource {"kind","api_version":"v1","name","spec":{...}}. Throws
-// invalid_input_error, which names the field and the remedy, on unknown or missing fields, wrong
-// types and units, and impossible values.
+// Parses one JSON resource {"kind","api_version":"v1","name","spec":{...}}.
+// Throws invalid_input_error, which names the field and the remedy, on unknown
+// or missing fields, wrong types and units, and impossible values.
 resource ParseResource(std::string_view json);
 // The JSON form that ParseResource reads; compact, with sorted keys.
 std::string FormatResource(const resource& r);
 
-// ---- The table --------------------------------------------------------------------------------
+// ---- The table
+// --------------------------------------------------------------------------------
 
 enum class move_verdict { kMoving, kDone, kRolledBack };
 std::string_view to_string(move_verdict verdict);
@@ -139,8 +145,8 @@
   bool idempotent = false;
 };
 
-// Finds the pool by host and longest path prefix and then its first matching route. `path` has no
-// query. Returns nullopt if no pool or no route matches.
+// Finds the pool by host and longest path prefix and then its first matching
+// route. `path` has no query. Returns nullopt if no pool or no route matches.
 std::optional<route_match> MatchRoute(const config_view& view,
                                       std::string_view host,
                                       std::string_view method,
--- a/packages/config/src/config_codec.cc
+++ b/packages/config/src/config_codec.cc
@@ -15,15 +15,22 @@
   throw invalid_input_error(path + " " + problem, remedy);
 }
 
-// One JSON field of a spec, with the member that holds it and the range it may have.
+// One JSON field of a spec, with the member that holds it and the range it may
+// have.
 template <class Spec>
 struct field {
-  using member =
-      std::variant<std::string Spec::*, bool Spec::*, std::uint32_t Spec::*,
-                   milliseconds Spec::*, unix_millis Spec::*, tenant_id Spec::*,
-                   pool_id Spec::*, version_id Spec::*, server_id Spec::*,
-                   data_centre_id Spec::*, std::vector<route_spec> Spec::*,
-                   std::vector<server_spec> Spec::*>;
+  using member = std::variant<std::string Spec::*,
+                              bool Spec::*,
+                              std::uint32_t Spec::*,
+                              milliseconds Spec::*,
+                              unix_millis Spec::*,
+                              tenant_id Spec::*,
+                              pool_id Spec::*,
+                              version_id Spec::*,
+                              server_id Spec::*,
+                              data_centre_id Spec::*,
+                              std::vector<route_spec> Spec::*,
+                              std::vector<server_spec> Spec::*>;
   std::string_view name;
   member at;
   bool required = false;
@@ -116,7 +123,8 @@
   return json.asString();
 }
 
-// Reads and writes one member type. Each overload handles one alternative of field::member.
+// Reads and writes one member type. Each overload handles one alternative of
+// field::member.
 template <class Spec>
 struct member_codec {
   const field<Spec>& f;
@@ -131,8 +139,8 @@
     out = json.asBool();
   }
   void Read(const Json::Value& json, std::uint32_t& out) const {
-    out = static_cast<std::uint32_t>(
-        ReadNumber(json, path, f.lowest, f.highest));
+    out =
+        static_cast<std::uint32_t>(ReadNumber(json, path, f.lowest, f.highest));
   }
   void Read(const Json::Value& json, milliseconds& out) const {
     out = milliseconds(ReadNumber(json, path, f.lowest, f.highest));
@@ -158,11 +166,21 @@
   }
 };
 
-Json::Value WriteMember(const std::string& v) { return v; }
-Json::Value WriteMember(bool v) { return v; }
-Json::Value WriteMember(std::uint32_t v) { return v; }
-Json::Value WriteMember(milliseconds v) { return Json::Int64{v.count()}; }
-Json::Value WriteMember(unix_millis v) { return Json::Int64{v.value}; }
+Json::Value WriteMember(const std::string& v) {
+  return v;
+}
+Json::Value WriteMember(bool v) {
+  return v;
+}
+Json::Value WriteMember(std::uint32_t v) {
+  return v;
+}
+Json::Value WriteMember(milliseconds v) {
+  return Json::Int64{v.count()};
+}
+Json::Value WriteMember(unix_millis v) {
+  return Json::Int64{v.value};
+}
 template <class Tag>
 Json::Value WriteMember(const text_id<Tag>& v) {
   return v.value();
@@ -213,7 +231,8 @@
   return json;
 }
 
-// ---- Checks over several fields ---------------------------------------------------------------
+// ---- Checks over several fields
+// ---------------------------------------------------------------
 
 void CheckSpec(const pool_spec& pool) {
   if (!pool.path_prefix.starts_with('/'))
@@ -226,7 +245,8 @@
   }
   for (const route_spec& route : pool.routes) {
     if (!route.path_prefix.starts_with('/'))
-      Fail("spec.routes.path_prefix", "does not start with /", "start it with /");
+      Fail("spec.routes.path_prefix", "does not start with /",
+           "start it with /");
   }
   std::map<server_id, bool> seen;
   for (const server_spec& server : pool.servers) {
@@ -318,8 +338,8 @@
   json["kind"] = std::string(KindName(r.spec));
   json["api_version"] = "v1";
   json["name"] = r.name;
-  json["spec"] = std::visit([](const auto& spec) { return WriteSpec(spec); },
-                            r.spec);
+  json["spec"] =
+      std::visit([](const auto& spec) { return WriteSpec(spec); }, r.spec);
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
   return Json::writeString(builder, json);
--- a/packages/config/src/config_view.cc
+++ b/packages/config/src/config_view.cc
@@ -3,7 +3,8 @@
 namespace dotterellead {
 namespace {
 
-// A prefix matches whole path segments only, so that /pay does not match /payroll.
+// A prefix matches whole path segments only, so that /pay does not match
+// /payroll.
 bool HasPathPrefix(std::string_view path, std::string_view prefix) {
   if (!path.starts_with(prefix))
     return false;
--- a/packages/config/tests/config_codec_test.cc
+++ b/packages/config/tests/config_codec_test.cc
@@ -55,9 +55,9 @@
 TEST_CASE("routes match whole segments, the longest prefix first") {
   config_view view;
   view.pools[pool_id("all")].spec.routes = {{"*", "/", true}};
-  view.pools[pool_id("pay")].spec = {.path_prefix = "/pay",
-                                     .routes = {{"GET", "/pay", true},
-                                                {"POST", "/pay", false}}};
+  view.pools[pool_id("pay")].spec = {
+      .path_prefix = "/pay",
+      .routes = {{"GET", "/pay", true}, {"POST", "/pay", false}}};
   CHECK(MatchRoute(view, "h", "GET", "/pay/1")->pool == pool_id("pay"));
   CHECK(MatchRoute(view, "h", "POST", "/pay")->idempotent == false);
   CHECK(MatchRoute(view, "h", "GET", "/payroll")->pool == pool_id("all"));
--- a/packages/http/include/dotterellead/http.h
+++ b/packages/http/include/dotterellead/http.h
@@ -1,5 +1,6 @@
-// HTTP/1.1 listener and client connection over cpp-httplib, which stays private to this package.
-// Used towards callers, operators, peers, backend servers and the platform.
+// HTTP/1.1 listener and client connection over cpp-httplib, which stays private
+// to this package. Used towards callers, operators, peers, backend servers and
+// the platform.
 #ifndef DOTTERELLEAD_HTTP_H_
 #define DOTTERELLEAD_HTTP_H_
 
@@ -22,7 +23,8 @@
   auto operator<=>(const socket_address&) const = default;
 };
 
-// Throws invalid_input_error unless `text` is a numeric IPv4 address and a port from 0 to 65535.
+// Throws invalid_input_error unless `text` is a numeric IPv4 address and a port
+// from 0 to 65535.
 socket_address ParseSocketAddress(std::string_view text);
 
 struct http_header {
@@ -37,7 +39,8 @@
 const std::string* FindHeader(const http_headers& headers,
                               std::string_view name);
 
-// Removes the headers that apply to one connection only, and those that `Connection` lists.
+// Removes the headers that apply to one connection only, and those that
+// `Connection` lists.
 void RemoveHopByHopHeaders(http_headers& headers);
 
 struct http_request {
@@ -66,7 +69,8 @@
   virtual std::uint64_t connection_number() const = 0;
 };
 
-// Refusals that the listener makes itself, before any handler runs, are passed to `decorate`.
+// Refusals that the listener makes itself, before any handler runs, are passed
+// to `decorate`.
 struct http_listener_options {
   socket_address address;
   // One thread serves one connection while it is open.
@@ -77,9 +81,10 @@
   std::function<void(http_answer&)> decorate;
 };
 
-// Accepts connections on one address and answers each request through a handler that runs on the
-// connection's thread. Requests with conflicting or repeated Content-Length, with both
-// Content-Length and Transfer-Encoding, or over a limit get a 4xx or 501 and never reach the handler.
+// Accepts connections on one address and answers each request through a handler
+// that runs on the connection's thread. Requests with conflicting or repeated
+// Content-Length, with both Content-Length and Transfer-Encoding, or over a
+// limit get a 4xx or 501 and never reach the handler.
 class http_listener {
  public:
   using handler =
@@ -90,11 +95,14 @@
   http_listener(const http_listener&) = delete;
   http_listener& operator=(const http_listener&) = delete;
 
-  // Binds and starts to accept. Throws unavailable_error if the address is in use or not local.
+  // Binds and starts to accept. Throws unavailable_error if the address is in
+  // use or not local.
   void Start();
-  // Ends idle connections, lets handlers that run finish, and joins all threads.
+  // Ends idle connections, lets handlers that run finish, and joins all
+  // threads.
   void Stop();
-  // Asks for `Connection: close` on all further answers, so that callers reconnect elsewhere.
+  // Asks for `Connection: close` on all further answers, so that callers
+  // reconnect elsewhere.
   void BeginClosing();
   // The bound address; its port is the chosen one if port 0 was asked for.
   socket_address address() const;
@@ -130,19 +138,22 @@
 // One client connection. A request is written at most once; nothing is resent.
 class http_connection {
  public:
-  explicit http_connection(const socket_address& remote,
-                           milliseconds connect_timeout = limits::kConnectTimeout);
+  explicit http_connection(
+      const socket_address& remote,
+      milliseconds connect_timeout = limits::kConnectTimeout);
   ~http_connection();
   http_connection(const http_connection&) = delete;
   http_connection& operator=(const http_connection&) = delete;
 
-  // Sends `request` and reads the whole answer, `timeout` at most. Opens the connection if needed.
+  // Sends `request` and reads the whole answer, `timeout` at most. Opens the
+  // connection if needed.
   send_result Send(const http_request& request,
                    milliseconds timeout,
                    byte_count max_answer = byte_count{limits::kMaxAnswerBytes});
   // True if the connection is open, idle, and has no unread bytes.
   bool IsReusable() const;
-  // True if the remote end closed the idle connection, as a restarted server does.
+  // True if the remote end closed the idle connection, as a restarted server
+  // does.
   bool WasClosedByRemote() const;
   // Ends the request in progress from another thread.
   void Cancel();
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -79,7 +79,8 @@
  private:
   static constexpr short kClosed = POLLRDHUP | POLLHUP | POLLERR;
 
-  // Any event on an idle connection means a close or bytes that belong to no request.
+  // Any event on an idle connection means a close or bytes that belong to no
+  // request.
   short PollEvents() const {
     pollfd state{client_.socket(), POLLIN | POLLRDHUP, 0};
     return poll(&state, 1, 0) > 0 ? state.revents : static_cast<short>(0);
@@ -150,7 +151,7 @@
   to.sin_family = AF_INET;
   to.sin_port = htons(remote.port);
   inet_pton(AF_INET, remote.ip.c_str(), &to.sin_addr);
-  connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  (void)connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof(to));
   pollfd state{socket, POLLOUT, 0};
   const bool settled = poll(&state, 1, static_cast<int>(timeout.count())) > 0;
   int problem = 0;
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
 #include <cctype>
+#include <cerrno>
 
 #include "dotterellead/http.h"
 
@@ -30,7 +30,8 @@
   std::uint64_t number_;
 };
 
-// What the connection's thread knows of the request it serves, beyond what httplib passes on.
+// What the connection's thread knows of the request it serves, beyond what
+// httplib passes on.
 struct call_context {
   int socket = -1;
   std::uint64_t connection_number = 0;
@@ -38,10 +39,18 @@
   int refusal_status = 0;
   std::string refusal;
   bool close_after = false;
+  // The handler has answered; httplib's error handler must not change it.
+  bool answered = false;
 };
 
 thread_local call_context* current_call = nullptr;
 
+// httplib writes the length of the body itself; only HEAD answers keep the
+// server's.
+bool IsContentLength(std::string_view name) {
+  return FindHeader({{std::string(name), ""}}, "content-length") != nullptr;
+}
+
 // Buffered reads and bounded waits over an accepted socket.
 class socket_stream : public httplib::Stream {
  public:
@@ -59,7 +68,8 @@
     pollfd state{socket_, POLLOUT, 0};
     return poll(&state, 1, static_cast<int>(timeout_.count())) > 0;
   }
-  // Starts to count header bytes; reads fail once a request's headers exceed the limit.
+  // Starts to count header bytes; reads fail once a request's headers exceed
+  // the limit.
   void BeginHeaders() { header_bytes_ = 0; }
   void EndHeaders() { header_bytes_ = kNotCounting; }
 
@@ -115,8 +125,8 @@
   call.close_after = true;
 }
 
-// Checks the headers that decide where a request ends. A request that two parties could read
-// differently must not be forwarded.
+// Checks the headers that decide where a request ends. A request that two
+// parties could read differently must not be forwarded.
 void CheckFraming(const httplib::Request& request,
                   byte_count max_body,
                   call_context& call) {
@@ -139,9 +149,8 @@
     const std::string value = request.get_header_value("Content-Length");
     const bool digits =
         !value.empty() && value.size() < 19 &&
-        std::all_of(value.begin(), value.end(), [](unsigned char c) {
-          return std::isdigit(c) != 0;
-        });
+        std::all_of(value.begin(), value.end(),
+                    [](unsigned char c) { return std::isdigit(c) != 0; });
     if (!digits)
       return Refuse(call, 400, "Content-Length is not a number");
     if (std::stoull(value) > max_body.value) {
@@ -154,8 +163,8 @@
     return Refuse(call, 431, "too many headers; send fewer");
 }
 
-// Moves all headers out of httplib's request, so that it neither decodes nor parses the body by
-// type, nor compresses or slices the answer.
+// Moves all headers out of httplib's request, so that it neither decodes nor
+// parses the body by type, nor compresses or slices the answer.
 void TakeHeaders(httplib::Request& request, call_context& call) {
   for (const auto& [name, value] : request.headers) {
     if (name != "REMOTE_ADDR" && name != "REMOTE_PORT" &&
@@ -176,14 +185,17 @@
  public:
   impl(http_listener_options options, handler handle)
       : options_(std::move(options)), handle_(std::move(handle)) {
-    new_task_queue = [this] { return new httplib::ThreadPool(options_.threads); };
+    new_task_queue = [this] {
+      return new httplib::ThreadPool(options_.threads);
+    };
     set_socket_options([](socket_t) {});
     set_tcp_nodelay(true);
+    set_keep_alive_max_count(kRequestsPerConnection);
     set_payload_max_length(options_.max_body.value);
-    set_pre_routing_handler([this](const httplib::Request& request,
-                                   httplib::Response& response) {
-      return PreRoute(request, response);
-    });
+    set_pre_routing_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          return PreRoute(request, response);
+        });
     const Handler run = [this](const httplib::Request& request,
                                httplib::Response& response) {
       Run(request, response);
@@ -198,9 +210,9 @@
 
   void Begin() {
     int port = options_.address.port;
-    const bool bound =
-        port == 0 ? (port = bind_to_any_port(options_.address.ip)) > 0
-                  : bind_to_port(options_.address.ip, port);
+    const bool bound = port == 0
+                           ? (port = bind_to_any_port(options_.address.ip)) > 0
+                           : bind_to_port(options_.address.ip, port);
     if (!bound) {
       throw unavailable_error(
           "cannot listen on " + options_.address.ToString(),
@@ -224,11 +236,13 @@
 
  private:
   static constexpr milliseconds kStopCheck{100};
+  static constexpr std::size_t kRequestsPerConnection = 1'000'000;
 
   HandlerResponse PreRoute(const httplib::Request& request,
                            httplib::Response& response) {
     if (current_call->refusal_status == 0) {
-      // httplib routes CONNECT, TRACE and PRI to nothing; they are refused here with a reason.
+      // httplib routes CONNECT, TRACE and PRI to nothing; they are refused here
+      // with a reason.
       if (request.method != "CONNECT" && request.method != "TRACE" &&
           request.method != "PRI") {
         return HandlerResponse::Unhandled;
@@ -249,17 +263,21 @@
     call.headers = std::move(current_call->headers);
     call.body = request.body;
     http_answer answer = handle_(
-        call, socket_peer(current_call->socket, current_call->connection_number));
-    answered_ = true;
+        call,
+        socket_peer(current_call->socket, current_call->connection_number));
+    current_call->answered = true;
     response.status = answer.status;
-    for (const http_header& header : answer.headers)
-      response.headers.emplace(header.name, header.value);
+    for (const http_header& header : answer.headers) {
+      if (request.method == "HEAD" || !IsContentLength(header.name))
+        response.headers.emplace(header.name, header.value);
+    }
     response.body = std::move(answer.body);
   }
 
-  // Adds to httplib's own error answers what the owner of this listener wants in each of them.
+  // Adds to httplib's own error answers what the owner of this listener wants
+  // in each of them.
   void Decorate(httplib::Response& response) {
-    if (answered_)
+    if (current_call->answered)
       return;
     http_answer answer;
     answer.status = response.status;
@@ -279,12 +297,10 @@
     call.socket = socket;
     call.connection_number = number;
     current_call = &call;
-    answered_ = false;
     bool connection_closed = false;
     stream.BeginHeaders();
     const bool ok = process_request(
-        stream, closing_, connection_closed,
-        [&](httplib::Request& request) {
+        stream, closing_, connection_closed, [&](httplib::Request& request) {
           stream.EndHeaders();
           CheckFraming(request, options_.max_body, call);
           TakeHeaders(request, call);
@@ -315,8 +331,6 @@
     return true;
   }
 
-  static thread_local bool answered_;
-
   http_listener_options options_;
   handler handle_;
   std::thread accepting_;
@@ -324,8 +338,6 @@
   std::atomic<std::uint64_t> next_connection_{1};
 };
 
-thread_local bool http_listener::impl::answered_ = false;
-
 http_listener::http_listener(http_listener_options options, handler handle)
     : impl_(std::make_unique<impl>(std::move(options), std::move(handle))) {}
 
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -18,9 +18,8 @@
 }
 
 constexpr std::array<std::string_view, 8> kHopByHop = {
-    "connection",          "keep-alive", "proxy-authenticate",
-    "proxy-authorization", "te",         "trailer",
-    "transfer-encoding",   "upgrade"};
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+    "te",         "trailer",    "transfer-encoding",  "upgrade"};
 
 std::vector<std::string> ConnectionOptions(const http_headers& headers) {
   std::vector<std::string> options;
@@ -45,7 +44,8 @@
 int HexDigit(char c) {
   if (c >= '0' && c <= '9')
     return c - '0';
-  const char lower = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  const char lower =
+      static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
   return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
 }
 
@@ -54,7 +54,8 @@
   for (std::size_t i = 0; i < text.size(); ++i) {
     if (text[i] == '%' && i + 2 < text.size() && HexDigit(text[i + 1]) >= 0 &&
         HexDigit(text[i + 2]) >= 0) {
-      out += static_cast<char>(HexDigit(text[i + 1]) * 16 + HexDigit(text[i + 2]));
+      out +=
+          static_cast<char>(HexDigit(text[i + 1]) * 16 + HexDigit(text[i + 2]));
       i += 2;
     } else {
       out += text[i] == '+' ? ' ' : text[i];
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -57,7 +57,8 @@
 };
 
 // Guards against request smuggling and unbounded input.
-TEST_CASE("listener refuses ambiguous and oversized requests before the handler") {
+TEST_CASE(
+    "listener refuses ambiguous and oversized requests before the handler") {
   echo_server server;
   server.listener.Start();
   const socket_address at = server.listener.address();
@@ -66,8 +67,11 @@
     std::string status;
   };
   const row rows[] = {
-      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
-      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+       "400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n",
+       "400"},
       {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "501"},
       {"POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\na", "400"},
       {"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\na", "400"},
@@ -88,30 +92,36 @@
 TEST_CASE("a port in use is an error at start") {
   echo_server first;
   first.listener.Start();
-  http_listener second({.address = first.listener.address()},
-                       [](const http_request&, const http_peer&) {
-                         return http_answer{};
-                       });
+  http_listener second(
+      {.address = first.listener.address()},
+      [](const http_request&, const http_peer&) { return http_answer{}; });
   CHECK_THROWS_AS(second.Start(), unavailable_error);
 }
 
-// Guards against a body that the library decodes, parses or compresses on the way.
+// Guards against a body that the library decodes, parses or compresses on the
+// way.
 TEST_CASE("bodies and targets pass unchanged") {
   echo_server server;
   server.listener.Start();
   http_connection connection(server.listener.address());
-  const send_result r = connection.Send(
-      {"POST", "/a%20b?x=%31", {{"Content-Type", "multipart/form-data; boundary=q"}, {"Accept-Encoding", "gzip"}}, "raw"},
-      kTimeout);
+  const send_result r =
+      connection.Send({"POST",
+                       "/a%20b?x=%31",
+                       {{"Content-Type", "multipart/form-data; boundary=q"},
+                        {"Accept-Encoding", "gzip"}},
+                       "raw"},
+                      kTimeout);
   CHECK(r.ok());
   CHECK(r.answer.body == "POST /a%20b?x=%31 raw");
   CHECK(FindHeader(r.answer.headers, "content-encoding") == nullptr);
   CHECK(connection.IsReusable());
 }
 
-// Accepts connections and runs `script` on each, counting the requests that arrive.
+// Accepts connections and runs `script` on each, counting the requests that
+// arrive.
 struct scripted_server {
-  explicit scripted_server(std::string reply_bytes) : reply(std::move(reply_bytes)) {
+  explicit scripted_server(std::string reply_bytes)
+      : reply(std::move(reply_bytes)) {
     fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in at{};
     at.sin_family = AF_INET;
@@ -151,7 +161,8 @@
   std::thread thread;
 };
 
-// Guards against a request that the client library writes a second time after a cut.
+// Guards against a request that the client library writes a second time after a
+// cut.
 TEST_CASE("a request cut mid-answer is never sent again") {
   scripted_server server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
   http_connection connection(server.address);
@@ -176,7 +187,8 @@
   CHECK_FALSE(connection.IsReusable());
 }
 
-// Guards against surplus bytes of the same segment: the library drops them with its read buffer.
+// Guards against surplus bytes of the same segment: the library drops them with
+// its read buffer.
 TEST_CASE("surplus bytes next to an answer never answer the next request") {
   scripted_server server(
       std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") +
@@ -196,8 +208,10 @@
 }
 
 TEST_CASE("hop-by-hop headers are removed, those that Connection lists too") {
-  http_headers headers = {{"Connection", "close, X-Trace"}, {"x-trace", "1"},
-                          {"TE", "trailers"}, {"Accept", "*/*"}};
+  http_headers headers = {{"Connection", "close, X-Trace"},
+                          {"x-trace", "1"},
+                          {"TE", "trailers"},
+                          {"Accept", "*/*"}};
   RemoveHopByHopHeaders(headers);
   CHECK(headers == http_headers{{"Accept", "*/*"}});
 }
--- /dev/null
+++ b/packages/platform/src/platform.cc
@@ -0,0 +1,1 @@
+#include "dotterellead/platform.h"
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -1,5 +1,5 @@
-// The path of a request from a caller to a backend server and back. What may run, where and whether
-// it ran already is decided behind the interfaces below.
+// The path of a request from a caller to a backend server and back. What may
+// run, where and whether it ran already is decided behind the interfaces below.
 #ifndef DOTTERELLEAD_PROXY_H_
 #define DOTTERELLEAD_PROXY_H_
 
@@ -16,7 +16,8 @@
 
 namespace dotterellead {
 
-// ---- What the flow asks of other duties -------------------------------------------------------
+// ---- What the flow asks of other duties
+// -------------------------------------------------------
 
 // Slots of backend servers.
 class slot_source {
@@ -27,10 +28,12 @@
   virtual void Release(const release& result) = 0;
 };
 
-// A whole answer that an earlier run of the same key produced, or what is known of that run.
+// A whole answer that an earlier run of the same key produced, or what is known
+// of that run.
 struct saved_answer {
   http_answer answer;
-  // True if the body was too large to keep; then the answer has status and digest only.
+  // True if the body was too large to keep; then the answer has status and
+  // digest only.
   bool truncated = false;
 };
 
@@ -51,13 +54,16 @@
 class claim_gate {
  public:
   virtual ~claim_gate() = default;
-  // Claims `key` for a request whose method, target and body have the digest `fingerprint`. Waits
-  // for an earlier run in progress, until `deadline` at most.
+  // Claims `key` for a request whose method, target and body have the digest
+  // `fingerprint`. Waits for an earlier run in progress, until `deadline` at
+  // most.
   virtual claim_decision Begin(const idempotency_key& key,
                                std::uint64_t fingerprint,
                                time_point deadline) = 0;
-  // Records the answer of a won claim; returns once it is kept, or after limits::kOutcomeWait.
-  virtual void Finish(const idempotency_key& key, const http_answer& answer) = 0;
+  // Records the answer of a won claim; returns once it is kept, or after
+  // limits::kOutcomeWait.
+  virtual void Finish(const idempotency_key& key,
+                      const http_answer& answer) = 0;
   // Gives a won claim back. Only for a request that certainly did not run.
   virtual void Void(const idempotency_key& key) = 0;
 };
@@ -69,15 +75,17 @@
 class admission_gate {
  public:
   virtual ~admission_gate() = default;
-  // Counts a first try and asks whether the fingerprint may run. May wait for another run of a
-  // fingerprint that has already crashed a server. Pair each true answer with End().
+  // Counts a first try and asks whether the fingerprint may run. May wait for
+  // another run of a fingerprint that has already crashed a server. Pair each
+  // true answer with End().
   virtual bool Begin(const pool_id& pool,
                      request_fingerprint fingerprint,
                      time_point deadline) = 0;
   // Asks for one retry out of the pool's budget.
   virtual bool TakeRetry(const pool_id& pool) = 0;
-  // Records that `server` crashed while running the fingerprint. Returns once the peers know, or
-  // after a bounded wait; false if the fingerprint must not be tried again.
+  // Records that `server` crashed while running the fingerprint. Returns once
+  // the peers know, or after a bounded wait; false if the fingerprint must not
+  // be tried again.
   virtual bool RecordCrash(request_fingerprint fingerprint,
                            const server_id& server) = 0;
   virtual void End(request_fingerprint fingerprint) = 0;
@@ -143,7 +151,8 @@
   virtual void Refused(const tenant_id& tenant, std::string_view reason) = 0;
 };
 
-// ---- The flow ---------------------------------------------------------------------------------
+// ---- The flow
+// ---------------------------------------------------------------------------------
 
 // All that a flow works with; each outlives it.
 struct flow_parts {
@@ -157,8 +166,8 @@
   std::function<config_snapshot()> config;
 };
 
-// An answer that the system makes itself: status, header dotterellead-run, and a JSON body with
-// the problem and the remedy.
+// An answer that the system makes itself: status, header dotterellead-run, and
+// a JSON body with the problem and the remedy.
 http_answer MakeOwnAnswer(int status,
                           run_state run,
                           std::string_view reason,
@@ -178,9 +187,10 @@
   std::unique_ptr<impl> impl_;
 };
 
-// Sends over kept connections. Whole answers only; a connection that was late, cancelled, cut or
-// has surplus bytes is never used again. When a new connection answers while an older one was
-// silent, all older ones to that server are closed.
+// Sends over kept connections. Whole answers only; a connection that was late,
+// cancelled, cut or has surplus bytes is never used again. When a new
+// connection answers while an older one was silent, all older ones to that
+// server are closed.
 class pooled_transport : public backend_transport {
  public:
   explicit pooled_transport(const clock_source& clock);
--- a/packages/proxy/src/attempt_watcher.h
+++ b/packages/proxy/src/attempt_watcher.h
@@ -12,8 +12,9 @@
 
 namespace dotterellead {
 
-// One thread checks all attempts in progress every kInterval; it sleeps while there are none. The
-// library's own read timeout restarts with each byte, so it cannot bound a whole answer.
+// One thread checks all attempts in progress every kInterval; it sleeps while
+// there are none. The library's own read timeout restarts with each byte, so it
+// cannot bound a whole answer.
 class attempt_watcher {
  public:
   static constexpr milliseconds kInterval{10};
@@ -28,7 +29,8 @@
   explicit attempt_watcher(const clock_source& clock);
   ~attempt_watcher();
 
-  // Watches until the returned guard ends. The connection and the caller outlive the guard.
+  // Watches until the returned guard ends. The connection and the caller
+  // outlive the guard.
   class guard {
    public:
     guard(attempt_watcher& owner, const watched& w);
--- a/packages/proxy/src/own_answer.cc
+++ b/packages/proxy/src/own_answer.cc
@@ -31,10 +31,10 @@
                     {"dotterellead-run", std::string(to_string(run))}};
   if (status == 503)
     answer.headers.push_back({"Retry-After", "1"});
-  answer.body = fmt::format(
-      "{{\"reason\":{},\"run\":{},\"problem\":{},\"remedy\":{}}}\n",
-      JsonText(reason), JsonText(to_string(run)), JsonText(problem),
-      JsonText(remedy));
+  answer.body =
+      fmt::format("{{\"reason\":{},\"run\":{},\"problem\":{},\"remedy\":{}}}\n",
+                  JsonText(reason), JsonText(to_string(run)), JsonText(problem),
+                  JsonText(remedy));
   return answer;
 }
 
--- a/packages/proxy/src/pooled_transport.cc
+++ b/packages/proxy/src/pooled_transport.cc
@@ -6,7 +6,8 @@
 namespace dotterellead {
 namespace {
 
-// A connection with what is known of it. Generations order connections by when they were opened.
+// A connection with what is known of it. Generations order connections by when
+// they were opened.
 struct kept_connection {
   std::unique_ptr<http_connection> connection;
   time_point last_answer;
@@ -35,7 +36,8 @@
     attempt sent;
     kept_connection used = Take(server, limits.needs_fresh, sent.found_closed);
     const time_point begin = clock_.Now().steady;
-    // Checked last, so that a process that was paused meanwhile does not send on an expired lease.
+    // Checked last, so that a process that was paused meanwhile does not send
+    // on an expired lease.
     if (begin >= limits.send_before || begin >= limits.deadline) {
       sent.not_sent = true;
       Keep(server, std::move(used));
@@ -46,9 +48,9 @@
           watcher_, {used.connection.get(), &caller, limits.deadline,
                      limits.cancel_with_caller});
       sent.result = used.connection->Send(
-          request, std::max(milliseconds(1),
-                            std::chrono::duration_cast<milliseconds>(
-                                limits.deadline - begin)));
+          request,
+          std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
+                                        limits.deadline - begin)));
     }
     const time_point end = clock_.Now().steady;
     sent.latency = std::chrono::duration_cast<microseconds>(end - begin);
@@ -70,8 +72,7 @@
     while (!known.idle.empty()) {
       kept_connection candidate = std::move(known.idle.back());
       known.idle.pop_back();
-      found_closed =
-          found_closed || candidate.connection->WasClosedByRemote();
+      found_closed = found_closed || candidate.connection->WasClosedByRemote();
       const bool recent =
           now - candidate.last_answer < limits::kFreshConnectionAge;
       if (candidate.generation >= known.oldest_good &&
@@ -79,9 +80,9 @@
         return candidate;
       }
     }
-    return {std::make_unique<http_connection>(
-                ParseSocketAddress(server.value())),
-            now, known.next_generation++};
+    return {
+        std::make_unique<http_connection>(ParseSocketAddress(server.value())),
+        now, known.next_generation++};
   }
 
   void Settle(const server_id& server,
@@ -105,7 +106,8 @@
   void Keep(const server_id& server, kept_connection used) {
     std::lock_guard lock(mutex_);
     server_connections& known = servers_[server];
-    // A newer connection works while an older one was silent: the path has lost the older ones.
+    // A newer connection works while an older one was silent: the path has lost
+    // the older ones.
     if (known.newest_silent != 0 && used.generation > known.newest_silent) {
       known.oldest_good = used.generation;
       known.newest_silent = 0;
@@ -114,8 +116,7 @@
       });
     }
     if (known.idle.size() < limits::kIdleConnectionsPerServer &&
-        used.generation >= known.oldest_good &&
-        used.connection->IsReusable()) {
+        used.generation >= known.oldest_good && used.connection->IsReusable()) {
       known.idle.push_back(std::move(used));
     }
   }
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -50,7 +50,7 @@
   switch (sent.result.failure) {
     case send_failure::kNone:
       return SaysNotRun(sent.result.answer) ? attempt_result::kShed
-                                       : attempt_result::kAnswered;
+                                            : attempt_result::kAnswered;
     case send_failure::kConnect:
       return attempt_result::kConnectFailed;
     case send_failure::kTimeout:
@@ -88,7 +88,8 @@
   if (sent.not_sent || !sent.result.ok())
     return r;
   const http_headers& headers = sent.result.answer.headers;
-  r.failed = sent.result.answer.status >= 500 && !SaysNotRun(sent.result.answer);
+  r.failed =
+      sent.result.answer.status >= 500 && !SaysNotRun(sent.result.answer);
   if (const std::string* state = FindHeader(headers, "server-state"))
     r.cold = *state == "cold";
   if (const std::string* draining = FindHeader(headers, "server-draining"))
@@ -145,7 +146,8 @@
  private:
   time_point Now() const { return parts_.clock.Now().steady; }
 
-  // Finds pool, route, deadline and key. Returns the refusal if one of them is missing or wrong.
+  // Finds pool, route, deadline and key. Returns the refusal if one of them is
+  // missing or wrong.
   std::optional<http_answer> Prepare(call& c) {
     const std::string* host = FindHeader(c.request.headers, "host");
     const std::optional<route_match> match =
@@ -204,7 +206,8 @@
   }
 
   http_answer RunIdempotentAttempts(call& c) {
-    // An idempotent request may have run in part; its refusals say not-run only if no attempt ran.
+    // An idempotent request may have run in part; its refusals say not-run only
+    // if no attempt ran.
     bool may_have_run = false;
     attempt_report last;
     for (std::size_t n = 0; n < kMaxAttempts; ++n) {
@@ -217,13 +220,13 @@
         break;
       }
     }
-    return FailedAnswer(last,
-                        may_have_run ? run_state::kUnknown : run_state::kNotRun);
+    return FailedAnswer(
+        last, may_have_run ? run_state::kUnknown : run_state::kNotRun);
   }
 
   http_answer RunClaimed(call& c) {
-    const claim_decision decision = parts_.claims.Begin(
-        c.key, c.fingerprint.value(), c.deadline);
+    const claim_decision decision =
+        parts_.claims.Begin(c.key, c.fingerprint.value(), c.deadline);
     if (const auto* saved = std::get_if<saved_answer>(&decision))
       return saved->answer;
     if (const auto* no = std::get_if<claim_refusal>(&decision)) {
@@ -277,8 +280,7 @@
 
   attempt_report SendOn(call& c, const assigned& slot) {
     c.tried.push_back(slot.server);
-    const time_point deadline =
-        std::min(c.deadline, Now() + slot.max_run);
+    const time_point deadline = std::min(c.deadline, Now() + slot.max_run);
     const attempt_limits limits{.send_before = slot.send_before,
                                 .deadline = deadline,
                                 .needs_fresh = !c.match.idempotent,
@@ -329,8 +331,8 @@
   http_answer FailedAnswer(const attempt_report& last, run_state run) const {
     const int status =
         last.reason == "backend-timeout" || last.reason == "deadline" ? 504
-        : run == run_state::kNotRun                                    ? 503
-                                                                       : 502;
+        : run == run_state::kNotRun                                   ? 503
+                                                                      : 502;
     const char* remedy =
         run == run_state::kNotRun
             ? "it did not run; send it again later"
--- a/tests/standins/standin_backend.cc
+++ b/tests/standins/standin_backend.cc
@@ -1,5 +1,6 @@
-// Stand-in for backend servers: slots, cold start, drain, shedding, slow and failing runs, crashes,
-// silent connections, load reports. POST /.control changes its behaviour while it runs; GET
+// Stand-in for backend servers: slots, cold start, drain, shedding, slow and
+// failing runs, crashes, silent connections, load reports. POST /.control
+// changes its behaviour while it runs; GET
 // /.ledger tells what ran.
 #include <json/json.h>
 #include <unistd.h>
@@ -109,7 +110,9 @@
 http_answer JsonAnswer(const Json::Value& json) {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
-  return {200, {{"Content-Type", "application/json"}}, Json::writeString(builder, json)};
+  return {200,
+          {{"Content-Type", "application/json"}},
+          Json::writeString(builder, json)};
 }
 
 std::int64_t WallMillis() {
@@ -261,8 +264,9 @@
     }
     const bool fault = HasFault(b, request);
     const bool failing =
-        fault && static_cast<int>(StableHash(request.target + std::to_string(
-                                      ledger_.arrivals)) % 1000) < b.fail_per_mille;
+        fault && static_cast<int>(StableHash(request.target +
+                                             std::to_string(ledger_.arrivals)) %
+                                  1000) < b.fail_per_mille;
     if (b.crash_on_marker && request.body.find("crash") != std::string::npos)
       _exit(3);
     CountRun(request);
@@ -367,7 +371,8 @@
   std::string control = "{}";
   int count = 1;
   std::size_t threads = 64;
-  app.add_option("--address", address, "IP:port of the first server")->required();
+  app.add_option("--address", address, "IP:port of the first server")
+      ->required();
   app.add_option("--count", count, "servers, on consecutive ports");
   app.add_option("--data-centre", data_centre, "data centre");
   app.add_option("--version", version, "version of the service");
@@ -385,9 +390,9 @@
     Update(initial, ParseJson(control));
     std::vector<std::unique_ptr<backend>> servers;
     for (int i = 0; i < count; ++i) {
-      servers.push_back(std::make_unique<backend>(
-          Nth(ParseSocketAddress(address), i), initial, data_centre, version,
-          threads));
+      servers.push_back(
+          std::make_unique<backend>(Nth(ParseSocketAddress(address), i),
+                                    initial, data_centre, version, threads));
       servers.back()->Start();
     }
     LogEvent(log_level::kInfo, "listening",
