Join all duties in the entry host, with system tests and a load tool

Cause: the packages decide, but one process has to carry their effects between threads, the log, peers and callers. Change: the entry host runs one duty per package and routes each effect; drain package; adapters between request threads and duties; a harness that starts real processes; system tests of the path and of faults; an open-loop load tool. A listener now allows a restart on its port and raises the library's backlog of 5.

--- a/apps/dotterellead/slot_adapter.cc
+++ b/apps/dotterellead/slot_adapter.cc
@@ -27,12 +27,40 @@
 }
 
 void slot_adapter::Release(const release& result) {
+  metrics_.Count(counter_family::kAttempts, to_string(result.result));
+  TellMeasure(result);
   if (!balance_->PostUntil(result, clock_.Now().steady + kReleaseWait)) {
     LogEvent(log_level::kError, "slot-release-lost",
              {{"request", std::to_string(result.request.value())}});
   }
 }
 
+void slot_adapter::SetLent(const balance_report& report) {
+  std::lock_guard lock(mutex_);
+  lent_.clear();
+  for (const server_balance& server : report.servers) {
+    if (server.lending)
+      lent_[server.server] = server.lent;
+  }
+}
+
+// Only a server's home measures it, so attempts on other servers are not reported.
+void slot_adapter::TellMeasure(const release& result) {
+  std::uint32_t in_flight = 0;
+  {
+    std::lock_guard lock(mutex_);
+    const auto it = lent_.find(result.server);
+    if (it == lent_.end())
+      return;
+    in_flight = it->second;
+  }
+  measure_->Post(attempt_seen{.server = result.server,
+                              .in_flight = in_flight,
+                              .latency = result.latency,
+                              .cold = result.cold,
+                              .failed = result.failed});
+}
+
 void slot_adapter::Deliver(const assigned& answer) {
   // Runs on the duty's thread, which must not wait for room in its own ring.
   if (!replies_.Fulfil(answer.request, answer))
--- a/apps/dotterellead/slot_adapter.h
+++ b/apps/dotterellead/slot_adapter.h
@@ -2,17 +2,26 @@
 #ifndef DOTTERELLEAD_SLOT_ADAPTER_H_
 #define DOTTERELLEAD_SLOT_ADAPTER_H_
 
+#include <map>
+#include <mutex>
+
 #include "dotterellead/balance.h"
+#include "dotterellead/measure.h"
+#include "dotterellead/metrics.h"
 #include "dotterellead/proxy.h"
 
 namespace dotterellead {
 
 class slot_adapter : public slot_source {
  public:
-  explicit slot_adapter(const clock_source& clock) : clock_(clock) {}
+  slot_adapter(const clock_source& clock, request_metrics& metrics)
+      : clock_(clock), metrics_(metrics) {}
 
-  // Sets the duty to ask. Call once, before the first request.
-  void Join(duty<balance_machine>& balance) { balance_ = &balance; }
+  // Sets the duties to ask and to tell. Call once, before the first request.
+  void Join(duty<balance_machine>& balance, duty<measure_machine>& measure) {
+    balance_ = &balance;
+    measure_ = &measure;
+  }
 
   std::variant<assigned, refused> Acquire(const acquire& wanted) override;
   void Release(const release& result) override;
@@ -21,13 +30,20 @@
   // is given back.
   void Deliver(const assigned& answer);
   void Deliver(const refused& answer);
+  // Takes over how many slots each server homed here has lent.
+  void SetLent(const balance_report& report);
 
  private:
   using reply = std::variant<assigned, refused>;
   void Return(request_id request);
+  void TellMeasure(const release& result);
 
   const clock_source& clock_;
+  request_metrics& metrics_;
   duty<balance_machine>* balance_ = nullptr;
+  duty<measure_machine>* measure_ = nullptr;
+  std::mutex mutex_;
+  std::map<server_id, std::uint32_t> lent_;
   reply_table<reply> replies_;
 };
 
--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -65,8 +65,14 @@
   std::string boot;
   // An idle connection was found closed by the server, as after a restart.
   bool found_closed = false;
+  server_id server;
+  // After a cut, a timeout or a cancellation the server may still run the request until then: the
+  // deadline that it was given, and a margin.
+  time_point busy_until;
 };
 
+std::string_view to_string(attempt_result result);
+
 struct config_changed {
   config_snapshot config;
 };
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -414,6 +414,17 @@
   std::thread thread_;
 };
 
+// Machine without state, for a duty whose whole work is blocking I/O in its sink.
+template <class Work>
+class relay_machine {
+ public:
+  using message = std::variant<Work, tick>;
+  using effect = std::variant<Work, tick>;
+  void Step(const message& m, const moment&, std::vector<effect>& out) {
+    out.push_back(m);
+  }
+};
+
 // Overload set for std::visit.
 template <class... Handlers>
 struct overloaded : Handlers... {
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -45,6 +45,13 @@
 
 thread_local call_context* current_call = nullptr;
 
+// Lets a restarted process bind while connections of its predecessor still time out. Unlike the
+// library's default, it does not let two processes share the port.
+void AllowRestart(socket_t socket) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+}
+
 // httplib writes the length of the body itself; only HEAD answers keep the
 // server's.
 bool IsContentLength(std::string_view name) {
@@ -188,7 +195,7 @@
     new_task_queue = [this] {
       return new httplib::ThreadPool(options_.threads);
     };
-    set_socket_options([](socket_t) {});
+    set_socket_options(AllowRestart);
     set_tcp_nodelay(true);
     set_keep_alive_max_count(kRequestsPerConnection);
     set_payload_max_length(options_.max_body.value);
@@ -218,6 +225,8 @@
           "cannot listen on " + options_.address.ToString(),
           "check that the address is local and that no other process uses it");
     }
+    // The library's backlog of 5 drops connections that arrive together.
+    ::listen(svr_sock_, kBacklog);
     options_.address.port = static_cast<std::uint16_t>(port);
     accepting_ = std::thread([this] { listen_after_bind(); });
     while (!is_running())
@@ -236,6 +245,7 @@
 
  private:
   static constexpr milliseconds kStopCheck{100};
+  static constexpr int kBacklog = 1024;
   static constexpr std::size_t kRequestsPerConnection = 1'000'000;
 
   HandlerResponse PreRoute(const httplib::Request& request,
--- a/packages/platform/include/dotterellead/platform.h
+++ b/packages/platform/include/dotterellead/platform.h
@@ -23,7 +23,8 @@
 struct log_batch {
   stream_id stream;
   std::vector<log_record> records;
-  // The oldest offset that the log still holds, and the one its next record gets.
+  // The oldest offset that the log still holds, and the one its next record
+  // gets.
   log_offset first;
   log_offset next;
   // How long the log keeps a record.
@@ -35,7 +36,8 @@
   stream_id stream;
 };
 
-// Asks for records to be appended to a stream as one unit. `token` comes back in the result.
+// Asks for records to be appended to a stream as one unit. `token` comes back
+// in the result.
 struct append_request {
   stream_id stream;
   std::uint64_t token = 0;
@@ -58,13 +60,15 @@
   log_offset first;
 };
 
-// The log service. Calls block for `timeout` at most and do not throw for an unreachable log.
+// The log service. Calls block for `timeout` at most and do not throw for an
+// unreachable log.
 class log_client {
  public:
   virtual ~log_client() = default;
   virtual append_result Append(const append_request& request,
                                milliseconds timeout) = 0;
-  // Reads up to `max` records from `from`, waiting `wait` at most for the first one.
+  // Reads up to `max` records from `from`, waiting `wait` at most for the first
+  // one.
   virtual std::variant<log_batch, log_unavailable> Read(const stream_id& stream,
                                                         log_offset from,
                                                         std::size_t max,
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -60,10 +60,9 @@
   virtual claim_decision Begin(const idempotency_key& key,
                                std::uint64_t fingerprint,
                                time_point deadline) = 0;
-  // Records the answer of a won claim; returns once it is kept, or after
-  // limits::kOutcomeWait.
-  virtual void Finish(const idempotency_key& key,
-                      const http_answer& answer) = 0;
+  // Records how the run of a won claim ended: kDone with the backend server's answer, or kUnknown
+  // with the answer that the caller gets. Returns once it is kept, or after limits::kOutcomeWait.
+  virtual void Finish(const idempotency_key& key, const http_answer& answer, run_state run) = 0;
   // Gives a won claim back. Only for a request that certainly did not run.
   virtual void Void(const idempotency_key& key) = 0;
 };
@@ -88,7 +87,8 @@
   // be tried again.
   virtual bool RecordCrash(request_fingerprint fingerprint,
                            const server_id& server) = 0;
-  virtual void End(request_fingerprint fingerprint) = 0;
+  // `answered` tells whether a backend server gave a whole answer.
+  virtual void End(request_fingerprint fingerprint, bool answered) = 0;
 };
 
 // Which version gets a request, and what became of it.
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -80,11 +80,16 @@
   return verdict::kMayHaveRun;
 }
 
-release MakeRelease(const call& c, const attempt& sent) {
+release MakeRelease(const call& c,
+                    const assigned& slot,
+                    const attempt& sent,
+                    time_point deadline) {
   release r{.request = c.id,
             .result = ResultOf(sent),
             .latency = sent.latency,
-            .found_closed = sent.found_closed};
+            .found_closed = sent.found_closed,
+            .server = slot.server,
+            .busy_until = deadline + limits::kLeaseMargin};
   if (sent.not_sent || !sent.result.ok())
     return r;
   const http_headers& headers = sent.result.answer.headers;
@@ -99,6 +104,10 @@
   return r;
 }
 
+bool IsFromBackend(const http_answer& answer) {
+  return FindHeader(answer.headers, "dotterellead-run") == nullptr;
+}
+
 request_fingerprint FingerprintOf(const call& c) {
   const std::string text = c.match.pool.value() + '\n' + c.tenant.value() +
                            '\n' + c.request.method + '\n' + c.request.target +
@@ -201,7 +210,7 @@
     if (!parts_.admission.Begin(c.match.pool, c.fingerprint, c.deadline))
       return Quarantined();
     http_answer answer = RunIdempotentAttempts(c);
-    parts_.admission.End(c.fingerprint);
+    parts_.admission.End(c.fingerprint, IsFromBackend(answer));
     return answer;
   }
 
@@ -238,7 +247,7 @@
       return Quarantined();
     }
     http_answer answer = RunClaimWon(c);
-    parts_.admission.End(c.fingerprint);
+    parts_.admission.End(c.fingerprint, IsFromBackend(answer));
     return answer;
   }
 
@@ -248,11 +257,14 @@
     for (std::size_t n = 0; n < kMaxAttempts; ++n) {
       last = TryOnce(c);
       if (last.outcome == verdict::kAnswered) {
-        parts_.claims.Finish(c.key, last.answer);
+        parts_.claims.Finish(c.key, last.answer, run_state::kDone);
         return std::move(last.answer);
       }
-      if (last.outcome == verdict::kMayHaveRun)
-        return FailedAnswer(last, run_state::kUnknown);
+      if (last.outcome == verdict::kMayHaveRun) {
+        http_answer answer = FailedAnswer(last, run_state::kUnknown);
+        parts_.claims.Finish(c.key, answer, run_state::kUnknown);
+        return answer;
+      }
       if (last.final || Now() >= c.deadline ||
           !parts_.admission.TakeRetry(c.match.pool)) {
         break;
@@ -287,7 +299,7 @@
                                 .cancel_with_caller = c.match.idempotent};
     const attempt sent = parts_.backends.Send(
         slot.server, Outgoing(c, deadline), limits, c.caller);
-    const release result = MakeRelease(c, sent);
+    const release result = MakeRelease(c, slot, sent, deadline);
     parts_.slots.Release(result);
     c.at_backends += sent.latency;
     attempt_report report{.outcome = VerdictOf(result.result),
@@ -347,7 +359,7 @@
         std::chrono::duration_cast<microseconds>(Now() - c.received);
     parts_.observer.Answered(c.tenant, c.match.pool, c.match.route,
                              answer.status, total, total - c.at_backends);
-    if (FindHeader(answer.headers, "dotterellead-run") == nullptr)
+    if (IsFromBackend(answer))
       return;
     parts_.observer.Refused(c.tenant, ReasonField(answer.body));
   }
--- /dev/null
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -0,0 +1,150 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+#include "dotterellead/proxy.h"
+
+namespace dotterellead {
+namespace {
+
+class present_caller : public http_peer {
+ public:
+  bool IsGone() const override { return gone; }
+  void Abort() const override {}
+  std::uint64_t connection_number() const override { return 1; }
+  std::atomic<bool> gone{false};
+};
+
+// Answers with the request's body; connections up to `silent_up_to` get no answer.
+struct backend_server {
+  http_answer Handle(const http_request& request, const http_peer& peer) {
+    ++requests;
+    newest = std::max(newest.load(), peer.connection_number());
+    while (peer.connection_number() <= silent_up_to && !peer.IsGone())
+      std::this_thread::sleep_for(milliseconds(5));
+    if (request.body == "cut") {
+      peer.Abort();
+      return {};
+    }
+    return {200, {}, request.body};
+  }
+  std::atomic<int> requests{0};
+  std::atomic<std::uint64_t> newest{0};
+  std::atomic<std::uint64_t> silent_up_to{0};
+  http_listener listener{{.address = {"127.0.0.1", 0}, .threads = 8},
+                         [this](const http_request& r, const http_peer& p) {
+                           return Handle(r, p);
+                         }};
+};
+
+struct fixture {
+  fixture() {
+    backend.listener.Start();
+    server = server_id(backend.listener.address().ToString());
+  }
+  attempt Send(const std::string& body,
+               bool needs_fresh = false,
+               int timeout_ms = 200) {
+    const time_point now = clock.Now().steady;
+    return transport.Send(server, {"POST", "/", {}, body},
+                          {.send_before = now + milliseconds(1'000),
+                           .deadline = now + milliseconds(timeout_ms),
+                           .needs_fresh = needs_fresh,
+                           .cancel_with_caller = true},
+                          caller);
+  }
+  backend_server backend;
+  server_id server;
+  system_clock_source clock;
+  present_caller caller;
+  pooled_transport transport{clock};
+};
+
+// Guards against connections that lost their path being used once a new one works.
+TEST_CASE("silent connections are given up when a newer one answers") {
+  fixture f;
+  std::thread other([&] { f.Send("a"); });
+  f.Send("b");
+  other.join();
+  const std::uint64_t old = f.backend.newest;
+  f.backend.silent_up_to = old;
+  const attempt silent = f.Send("c");
+  CHECK(silent.result.failure == send_failure::kTimeout);
+  // At most one more attempt meets an old connection, since each silent one is closed.
+  int timeouts = 0;
+  for (int i = 0; i < 4; ++i)
+    timeouts += f.Send("d").result.ok() ? 0 : 1;
+  CHECK(timeouts <= 1);
+  CHECK(f.Send("e").result.answer.body == "e");
+}
+
+// Guards against a non-idempotent request on a connection that may have lost its path.
+TEST_CASE("a non-idempotent request avoids connections without a recent answer") {
+  fixture f;
+  CHECK(f.Send("a").result.ok());
+  std::this_thread::sleep_for(limits::kFreshConnectionAge + milliseconds(20));
+  f.backend.silent_up_to = f.backend.newest.load();
+  const attempt sent = f.Send("b", true);
+  CHECK(sent.result.ok());
+  CHECK(sent.result.answer.body == "b");
+}
+
+// Guards against a paused process that sends after its lease has run out.
+TEST_CASE("nothing is sent after the lease or the deadline") {
+  fixture f;
+  const time_point now = f.clock.Now().steady;
+  const attempt late =
+      f.transport.Send(f.server, {"POST", "/", {}, "x"},
+                       {.send_before = now, .deadline = now + milliseconds(500)},
+                       f.caller);
+  CHECK(late.not_sent);
+  CHECK(f.backend.requests == 0);
+}
+
+// Guards against crossed answers: a timed-out connection must never carry another request.
+TEST_CASE("each of many callers gets the answer to its own request") {
+  fixture f;
+  std::atomic<int> wrong{0};
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 4; ++t) {
+    threads.emplace_back([&, t] {
+      for (int i = 0; i < 50; ++i) {
+        const std::string body = std::to_string(t) + "-" + std::to_string(i);
+        const attempt sent = f.Send(i % 10 == 9 ? "cut" : body);
+        if (sent.result.ok() && sent.result.answer.body != body)
+          ++wrong;
+      }
+    });
+  }
+  for (std::thread& t : threads)
+    t.join();
+  CHECK(wrong == 0);
+  CHECK(f.backend.requests == 200);
+}
+
+// Guards against work for a caller who no longer waits.
+TEST_CASE("a caller who goes away cancels the attempt") {
+  fixture f;
+  f.backend.silent_up_to = 100;
+  std::thread leave([&] {
+    std::this_thread::sleep_for(milliseconds(50));
+    f.caller.gone = true;
+  });
+  const attempt sent = f.Send("x", false, 2'000);
+  leave.join();
+  CHECK(sent.result.failure == send_failure::kCancelled);
+  CHECK(sent.latency < milliseconds(1'000));
+}
+
+TEST_CASE("a refused connection after a cut tells a crash") {
+  fixture f;
+  CHECK(f.Send("cut").result.failure == send_failure::kCut);
+  CHECK_FALSE(f.Send("cut").refuses_connections);
+  f.backend.listener.Stop();
+  CHECK(f.Send("x").result.failure == send_failure::kConnect);
+}
+
+}  // namespace
+}  // namespace dotterellead
--- /dev/null
+++ b/tests/system/system_faults_test.cc
@@ -0,0 +1,221 @@
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+#include "harness.h"
+#include "load.h"
+
+namespace dotterellead::harness {
+namespace {
+
+// The stated bounds for new work in a data centre that is out, and for a server that leaves.
+constexpr milliseconds kOutBound{3'000};
+
+cluster_options FourHosts(const std::string& folder) {
+  cluster_options options{.entry_hosts = 4,
+                          .servers = {},
+                          .log_folder = folder};
+  for (const char* data_centre : {"a", "b", "c"}) {
+    options.servers.push_back({.pool = "pay",
+                               .data_centre = data_centre,
+                               .count = 2,
+                               .behaviour = R"({"service_us":5000})",
+                               .separate_processes = true});
+  }
+  return options;
+}
+
+bench::load_options Load(const cluster& c, double rate, int seconds) {
+  bench::load_options load;
+  for (std::size_t i = 0; i < c.entry_host_count(); ++i)
+    load.targets.push_back(c.caller_address(i));
+  load.requests_per_second = rate;
+  load.duration = milliseconds(1'000 * seconds);
+  return load;
+}
+
+// Runs `fault` one second into a load, and returns the load's samples.
+std::vector<bench::sample> RunWithFault(const bench::load_options& load,
+                                        const std::function<void()>& fault) {
+  std::exception_ptr problem;
+  std::thread injector([&] {
+    std::this_thread::sleep_for(milliseconds(1'000));
+    try {
+      fault();
+    } catch (...) {
+      problem = std::current_exception();
+    }
+  });
+  std::vector<bench::sample> samples = bench::RunLoad(load);
+  injector.join();
+  if (problem)
+    std::rethrow_exception(problem);
+  return samples;
+}
+
+// What callers were told must agree with what the backend servers ran.
+void CheckAtMostOnce(const cluster& c, const std::vector<bench::sample>& samples) {
+  const backend_ledger total = c.TotalLedger();
+  for (const auto& [key, runs] : total.runs_by_key)
+    CHECK(runs == 1);
+  for (const bench::sample& s : samples) {
+    if (!s.post)
+      continue;
+    const bool ran = total.runs_by_key.contains(s.key);
+    if (s.ok())
+      CHECK(ran);
+    if (s.run == "not-run")
+      CHECK_FALSE(ran);
+  }
+}
+
+// Guards against lost requests that were not in flight on the killed host, and against a key that
+// runs twice after its host died.
+TEST_CASE("a killed entry host loses only what was in flight on it") {
+  cluster c(FourHosts("out-kill"));
+  c.Start();
+  bench::load_options load = Load(c, 200, 6);
+  load.targets = {c.caller_address(0), c.caller_address(2), c.caller_address(3)};
+  load.post_per_mille = 300;
+  const std::vector<bench::sample> samples =
+      RunWithFault(load, [&] { c.entry_host(1).Signal(SIGKILL); });
+  for (const auto& [result, count] : bench::CountResults(samples))
+    MESSAGE(result << ": " << count);
+  for (const bench::sample& s : samples)
+    CHECK(s.ok());
+  CheckAtMostOnce(c, samples);
+  CHECK(c.TotalLedger().exceeded == 0);
+}
+
+// Guards against a paused host that sends on leases which have passed to others.
+TEST_CASE("a paused and resumed entry host exceeds no slots and runs no key twice") {
+  cluster c(FourHosts("out-pause"));
+  c.Start();
+  bench::load_options load = Load(c, 200, 12);
+  load.post_per_mille = 300;
+  const std::vector<bench::sample> samples = RunWithFault(load, [&] {
+    c.entry_host(1).Signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(6'000));
+    c.entry_host(1).Signal(SIGCONT);
+  });
+  for (const auto& [result, count] : bench::CountResults(samples))
+    MESSAGE(result << ": " << count);
+  CheckAtMostOnce(c, samples);
+  CHECK(c.TotalLedger().exceeded == 0);
+}
+
+// Guards against idempotent work that stops without the log, and against a false "not run".
+TEST_CASE("with the log down reads are served and payments are refused as not run") {
+  cluster c(FourHosts("out-log"));
+  c.Start();
+  c.ControlPlatform(R"({"outage":"all"})");
+  bench::load_options load = Load(c, 100, 5);
+  load.post_per_mille = 300;
+  const std::vector<bench::sample> samples = bench::RunLoad(load);
+  c.ControlPlatform(R"({"outage":"none"})");
+  int refused = 0;
+  for (const bench::sample& s : samples) {
+    if (!s.post)
+      CHECK(s.ok());
+    refused += s.run == "not-run" ? 1 : 0;
+  }
+  CHECK(refused > 0);
+  CheckAtMostOnce(c, samples);
+  // Payments work again once the log is back.
+  CHECK(WaitFor(milliseconds(5'000), [&] {
+    return c.Call(0, "POST", "/pay/x", {{"Idempotency-Key", MakeKey()}}, "1").answer.status == 200;
+  }));
+}
+
+// Guards against append replies that are lost after taking effect.
+TEST_CASE("lost append replies run nothing twice") {
+  cluster c(FourHosts("out-lost"));
+  c.Start();
+  bench::load_options load = Load(c, 100, 5);
+  load.post_per_mille = 500;
+  const std::vector<bench::sample> samples = RunWithFault(load, [&] {
+    for (int i = 0; i < 6; ++i) {
+      c.ControlPlatform(R"({"lose_append_replies":3})");
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  });
+  for (const auto& [result, count] : bench::CountResults(samples))
+    MESSAGE(result << ": " << count);
+  CheckAtMostOnce(c, samples);
+}
+
+// Guards against new work for a data centre after the bound, and against overload on its return.
+TEST_CASE("a data centre taken out gets no new work after the bound, and returns") {
+  cluster c(FourHosts("out-dc"));
+  c.Start();
+  std::int64_t out_ms = 0;
+  const std::vector<bench::sample> samples =
+      RunWithFault(Load(c, 150, 9), [&] {
+        c.SetDataCentreOut("b", true, 0);
+        out_ms = system_clock_source().Now().wall.value;
+        std::this_thread::sleep_for(kOutBound + milliseconds(1'000));
+        for (const server_handle& server : c.servers()) {
+          if (server.data_centre == "b")
+            CHECK(c.Ledger(server).last_arrival_ms < out_ms + kOutBound.count());
+        }
+        c.SetDataCentreOut("b", false, 1);
+      });
+  for (const bench::sample& s : samples)
+    CHECK(s.ok());
+  const std::int64_t now = system_clock_source().Now().wall.value;
+  int busy_again = 0;
+  for (const server_handle& server : c.servers()) {
+    if (server.data_centre == "b" && now - c.Ledger(server).last_arrival_ms < 3'000)
+      ++busy_again;
+  }
+  CHECK(busy_again > 0);
+  CHECK(c.TotalLedger().exceeded == 0);
+}
+
+// Guards against requests lost with a backend server that dies, and against full load on its cold
+// return.
+TEST_CASE("a killed backend server costs no idempotent request and returns cold") {
+  cluster_options options = FourHosts("out-backend");
+  for (server_group& group : options.servers)
+    group.behaviour = R"({"service_us":5000,"cold_runs":20,"cold_service_us":10000})";
+  cluster c(options);
+  c.Start();
+  const std::vector<bench::sample> samples =
+      RunWithFault(Load(c, 150, 8), [&] {
+        c.backend_process(0).Signal(SIGKILL);
+        c.backend_process(0).WaitForExit(milliseconds(2'000));
+        std::this_thread::sleep_for(milliseconds(2'000));
+        c.RestartBackendProcess(0);
+      });
+  for (const auto& [result, count] : bench::CountResults(samples))
+    MESSAGE(result << ": " << count);
+  for (const bench::sample& s : samples)
+    CHECK(s.ok());
+  const backend_ledger total = c.TotalLedger();
+  CHECK(total.exceeded == 0);
+  CHECK(total.cold_exceeded == 0);
+  CHECK(c.Ledger(c.servers()[0]).runs > 0);
+}
+
+// Guards against a request that takes down one server after another.
+TEST_CASE("a crashing request costs at most two servers, its resends included") {
+  cluster_options options = FourHosts("out-crash");
+  for (server_group& group : options.servers)
+    group.behaviour = R"({"service_us":5000,"crash_on_marker":true})";
+  cluster c(options);
+  c.Start();
+  for (int resend = 0; resend < 12; ++resend) {
+    const send_result r = c.Call(static_cast<std::size_t>(resend) % 4, "GET", "/pay/x", {}, "crash");
+    CHECK((r.ok() && r.answer.status >= 500));
+  }
+  int lost = 0;
+  for (std::size_t i = 0; i < c.servers().size(); ++i)
+    lost += c.backend_process(i).is_running() ? 0 : 1;
+  CHECK(lost >= 1);
+  CHECK(lost <= 2);
+  CHECK(c.Call(0, "GET", "/pay/other", {}, "harmless").answer.status == 200);
+}
+
+}  // namespace
+}  // namespace dotterellead::harness
