Read and append the platform's log and host list over HTTP

Cause: claims, configuration and membership need the log, and a lost reply must be told apart from a refusal.

--- a/packages/platform/src/platform.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "dotterellead/platform.h"
--- /dev/null
+++ b/packages/platform/tests/platform_http_test.cc
@@ -0,0 +1,146 @@
+#include <doctest/doctest.h>
+
+#include "dotterellead/platform.h"
+
+namespace dotterellead {
+namespace {
+
+constexpr milliseconds kTimeout{300};
+
+// Platform that gives one prepared answer to each call.
+struct scripted_platform {
+  http_answer answer;
+  bool cut = false;
+  milliseconds delay{0};
+  http_request last;
+  http_listener listener{
+      {.address = ParseSocketAddress("127.0.0.1:0"), .threads = 4},
+      [this](const http_request& r, const http_peer& p) {
+        last = r;
+        std::this_thread::sleep_for(delay);
+        if (cut)
+          p.Abort();
+        return answer;
+      }};
+  scripted_platform() { listener.Start(); }
+};
+
+// Guards against taking an append for refused, or for done, when it may have
+// had the other result.
+TEST_CASE("each append answer means appended, refused or unknown") {
+  struct row {
+    std::string name;
+    http_answer answer;
+    bool cut = false;
+    milliseconds delay{0};
+    append_status status = append_status::kUnknown;
+  };
+  const std::string good = R"({"offset":5,"count":2})";
+  const row rows[] = {
+      {"good", {.body = good}, false, {}, append_status::kAppended},
+      {"rate", {.status = 429}, false, {}, append_status::kRefused},
+      {"outage", {.status = 503}, false, {}, append_status::kRefused},
+      {"cut", {.body = good}, true},
+      {"late", {.body = good}, false, milliseconds(600)},
+      {"server error", {.status = 500, .body = good}},
+      {"not JSON", {.body = "{"}},
+      {"no offset", {.body = R"({"count":2})"}},
+      {"negative", {.body = R"({"offset":-1,"count":2})"}},
+      {"other count", {.body = R"({"offset":5,"count":1})"}},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.name);
+    scripted_platform platform;
+    platform.answer = r.answer;
+    platform.cut = r.cut;
+    platform.delay = r.delay;
+    http_log_client log(platform.listener.address());
+    const append_result result = log.Append(
+        {.stream = stream_id("s"), .token = 9, .records = {"a\"\xc3\xa9", "b"}},
+        kTimeout);
+    CHECK(result.status == r.status);
+    CHECK(result.token == 9);
+    CHECK(platform.last.target == "/streams/s/records");
+    CHECK(platform.last.body == "{\"records\":[\"a\\\"\xc3\xa9\",\"b\"]}");
+    if (r.status == append_status::kAppended)
+      CHECK(result.first == log_offset(5));
+  }
+}
+
+// Guards against an append that is reported lost although it was never sent.
+TEST_CASE("an append that cannot connect is refused") {
+  scripted_platform platform;
+  platform.listener.Stop();
+  http_log_client log(platform.listener.address());
+  CHECK(log.Append({.stream = stream_id("s"), .records = {"a"}}, kTimeout)
+            .status == append_status::kRefused);
+}
+
+// Guards against records that a malformed answer would skip or repeat.
+TEST_CASE("a read gives a whole batch or unavailable") {
+  struct row {
+    std::string body;
+    bool good = false;
+  };
+  const row rows[] = {
+      {R"({"records":[{"offset":3,"data":"x"},{"offset":4,"data":""}],)"
+       R"("first":1,"next":9,"retention_ms":50})",
+       true},
+      {R"({"records":[],"first":0,"next":0,"retention_ms":50})", true},
+      {R"({"records":[{"offset":3,"data":"x"},{"offset":5,"data":""}],)"
+       R"("first":1,"next":9,"retention_ms":50})"},
+      {R"({"records":[{"offset":9,"data":"x"}],)"
+       R"("first":1,"next":9,"retention_ms":50})"},
+      {R"({"records":[{"offset":3}],"first":1,"next":9,"retention_ms":50})"},
+      {R"({"records":[7],"first":1,"next":9,"retention_ms":50})"},
+      {R"({"records":{},"first":1,"next":9,"retention_ms":50})"},
+      {R"({"records":[],"first":1,"next":9})"},
+      {"[]"},
+      {""},
+  };
+  for (const row& r : rows) {
+    CAPTURE(r.body);
+    scripted_platform platform;
+    platform.answer.body = r.body;
+    http_log_client log(platform.listener.address());
+    const auto result =
+        log.Read(stream_id("s"), log_offset(3), 10, milliseconds(20));
+    CHECK(platform.last.target ==
+          "/streams/s/records?from=3&max=10&wait_ms=20");
+    CHECK(std::holds_alternative<log_batch>(result) == r.good);
+  }
+  scripted_platform down;
+  down.answer.status = 503;
+  http_log_client log(down.listener.address());
+  CHECK(std::holds_alternative<log_unavailable>(
+      log.Read(stream_id("s"), log_offset(0), 1, milliseconds(0))));
+}
+
+TEST_CASE("the host list is read whole or not at all") {
+  scripted_platform platform;
+  http_host_list_client list(platform.listener.address());
+  platform.answer.body =
+      R"({"hosts":[{"address":"127.0.0.1:1","data_centre":"a",)"
+      R"("kind":"backend","state":"leaving","pool":"p","version":"v1"},)"
+      R"({"address":"127.0.0.1:2","data_centre":"b","kind":"entry",)"
+      R"("state":"live"}]})";
+  const auto hosts = list.List(kTimeout);
+  REQUIRE(hosts.has_value());
+  REQUIRE(hosts->size() == 2);
+  CHECK((*hosts)[0] == listed_host{"127.0.0.1:1", data_centre_id("a"),
+                                   host_kind::kBackend, host_state::kLeaving,
+                                   pool_id("p"), version_id("v1")});
+  CHECK((*hosts)[1].kind == host_kind::kEntry);
+  for (
+      const char* body :
+      {"", "{}", R"({"hosts":[1]})",
+       R"({"hosts":[{"address":"a","data_centre":"a","kind":"x","state":"live"}]})"}) {
+    platform.answer.body = body;
+    CHECK_FALSE(list.List(kTimeout).has_value());
+  }
+  platform.answer.status = 503;
+  CHECK_FALSE(list.List(kTimeout).has_value());
+}
+
+}  // namespace
+}  // namespace dotterellead
