Decide at-most-once claims by replaying the log in offset order

Cause: a non-idempotent request must run at most once although replies get lost, hosts pause or die and the log goes down.

--- /dev/null
+++ b/packages/idempotency/src/claim_table.cc
@@ -0,0 +1,55 @@
+#include "claim_table.h"
+
+namespace dotterellead {
+
+claim_change claim_table::Apply(const claim_log_record& record,
+                                time_point now) {
+  return std::visit(
+      overloaded{[&](const claim_record& r) { return Apply(r, now); },
+                 [&](const void_record& r) { return Apply(r); },
+                 [&](const outcome_record& r) { return Apply(r); }},
+      record);
+}
+
+const claim_entry* claim_table::Find(const idempotency_key& key) const {
+  const auto it = entries_.find(key);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+void claim_table::DropCreatedBefore(unix_millis oldest) {
+  while (!entries_.empty() && *KeyCreation(entries_.begin()->first) < oldest) {
+    entries_.erase(entries_.begin());
+  }
+}
+
+// A claim that finds the key held is rejected for good, even if the holder
+// gives the key back later.
+claim_change claim_table::Apply(const claim_record& record, time_point now) {
+  const auto [it, free] = entries_.try_emplace(
+      record.key, claim_entry{.holder = record.writer,
+                              .fingerprint = record.fingerprint,
+                              .seen = now});
+  return free ? claim_change::kHeld : claim_change::kNone;
+}
+
+claim_change claim_table::Apply(const void_record& record) {
+  const auto it = entries_.find(record.key);
+  if (it == entries_.end() || it->second.holder != record.writer ||
+      it->second.outcome) {
+    return claim_change::kNone;
+  }
+  entries_.erase(it);
+  return claim_change::kFreed;
+}
+
+claim_change claim_table::Apply(const outcome_record& record) {
+  const auto it = entries_.find(record.key);
+  if (it == entries_.end() || it->second.holder != record.writer ||
+      it->second.outcome) {
+    return claim_change::kNone;
+  }
+  it->second.outcome = record.outcome;
+  return claim_change::kSettled;
+}
+
+}  // namespace dotterellead
