Call other entry hosts by JSON-RPC over one connection per peer

Gossip, leases and strikes need calls between hosts in which a hung host does not delay the others. The server side feeds libjsonrpccpp from the HTTP listener through a connector of its own; the client side encodes the call itself, since the library's client headers do not compile as C++20.

--- a/packages/peer/include/dotterellead/peer.h
+++ b/packages/peer/include/dotterellead/peer.h
@@ -37,8 +37,9 @@
   socket_address address;
   // Every call must carry it as a bearer token. Must not be empty.
   std::string secret;
-  // One thread serves one peer's connection while it is open.
-  std::size_t threads = 32;
+  // One thread serves one peer's connection while it is open, so there must be
+  // more threads than peers.
+  std::size_t threads = 128;
 };
 
 // Answers the calls of other entry hosts. Methods run on the threads of the
--- /dev/null
+++ b/packages/peer/src/peer_rpc.h
@@ -0,0 +1,51 @@
+// Encoding of calls between entry hosts as JSON-RPC 2.0.
+#ifndef DOTTERELLEAD_PEER_RPC_H_
+#define DOTTERELLEAD_PEER_RPC_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "dotterellead/peer.h"
+
+namespace dotterellead {
+
+inline constexpr std::string_view kRpcPath = "/rpc";
+
+// A call with `params` as JSON text; an empty text stands for no parameters.
+std::string EncodeCall(std::uint64_t id,
+                       const std::string& method,
+                       const std::string& params);
+
+// The result of call `id` as JSON text, or nullopt if `body` is an error, no
+// JSON-RPC answer, or the answer to another call.
+std::optional<std::string> DecodeResult(std::uint64_t id,
+                                        const std::string& body);
+
+// Runs the methods named by JSON-RPC requests. Safe to use from many threads.
+class rpc_dispatcher {
+ public:
+  explicit rpc_dispatcher(peer_methods methods);
+  ~rpc_dispatcher();
+  rpc_dispatcher(const rpc_dispatcher&) = delete;
+  rpc_dispatcher& operator=(const rpc_dispatcher&) = delete;
+
+  // Returns the body of the answer.
+  std::string Handle(const std::string& body);
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// The value of the Authorization header that proves `secret`.
+std::string BearerValue(const std::string& secret);
+
+// Compares in a time that depends only on the length of `given`, so that
+// timing does not reveal a secret byte by byte.
+bool EqualInConstantTime(std::string_view given, std::string_view expected);
+
+}  // namespace dotterellead
+
+#endif  // DOTTERELLEAD_PEER_RPC_H_
