Decide membership, epochs and the right to act as a home

The balance duty needs one home per backend server, also in splits, pauses and log outages. The machine gossips heartbeats, orders epochs by conditional records on the stream members, and derives the right of a home from direct answers timed from the own send. An earlier epoch counts as ended T after at least half of its members have left it.

Members that the platform's list has dropped count as having left an epoch, but stay in the base of the holder's majority: with a smaller base, a host without news could lend again after others have taken over.

--- /dev/null
+++ b/packages/membership/src/proposals.cc
@@ -0,0 +1,151 @@
+#include <algorithm>
+
+#include "membership_impl.h"
+
+namespace dotterellead {
+namespace {
+
+// Hosts that start together hear of each other before they form the first
+// epoch.
+constexpr milliseconds kFirstEpochDelay{1'000};
+// Each further proposer waits this much longer, in case those before it cannot
+// reach the log.
+constexpr milliseconds kProposerDelay{1'000};
+// A refresh is due after this part of the retention, to be in the log before a
+// quarter has passed.
+constexpr int kRefreshPart = 5;
+constexpr int kRefreshDelayPart = 100;
+
+}  // namespace
+
+bool membership_machine::impl::IsLeaving(const known_member& member) const {
+  return member.leaving || table_.IsListedLeaving(member.run.address);
+}
+
+bool membership_machine::impl::HasQuorum() const {
+  const std::optional<time_point> until = quorum_.ValidUntil(now_);
+  return until && *until > now_;
+}
+
+bool membership_machine::impl::PeersHaveEpoch() const {
+  return std::any_of(table_.members().begin(), table_.members().end(),
+                     [&](const auto& entry) {
+                       return table_.IsLive(entry.second, now_) &&
+                              entry.second.reported.number.value() > 0;
+                     });
+}
+
+bool membership_machine::impl::MayAppend() const {
+  return synced_ && !pending_ && now_ - appended_at_ >= limits::kEpochInterval;
+}
+
+std::optional<std::size_t> membership_machine::impl::ProposerRank() const {
+  const epoch& current = log_.current();
+  const bool insider = current.Has(settings_.self);
+  const bool all_gone =
+      std::all_of(current.members.begin(), current.members.end(),
+                  [&](const member_run& r) { return table_.IsGone(r, now_); });
+  if (!insider && !all_gone)
+    return std::nullopt;
+  std::vector<std::pair<bool, member_id>> candidates = {
+      {leaving_, settings_.self.id}};
+  for (const auto& [id, member] : table_.members()) {
+    const bool eligible = insider ? current.Has(member.run) : member.heard;
+    if (eligible && table_.IsLive(member, now_))
+      candidates.emplace_back(IsLeaving(member), id);
+  }
+  const auto before =
+      std::count_if(candidates.begin(), candidates.end(),
+                    [&](const auto& c) { return c < candidates.front(); });
+  return static_cast<std::size_t>(before);
+}
+
+// Without a quorum only members that are certainly gone are removed: a host
+// that is cut off, but reaches the log, must not exclude the others.
+bool membership_machine::impl::StaysInEpoch(const member_run& run,
+                                            bool has_quorum) const {
+  if (run.id == settings_.self.id)
+    return run == settings_.self && !leaving_;
+  if (table_.IsGone(run, now_))
+    return false;
+  if (!has_quorum)
+    return true;
+  const known_member* member = table_.FindLive(run.id, now_);
+  return member != nullptr && member->run == run && !IsLeaving(*member);
+}
+
+std::vector<member_run> membership_machine::impl::DesiredMembers() const {
+  const bool has_quorum = HasQuorum();
+  std::map<member_id, member_run> desired;
+  if (!leaving_)
+    desired.emplace(settings_.self.id, settings_.self);
+  for (const member_run& run : log_.current().members) {
+    if (StaysInEpoch(run, has_quorum))
+      desired.emplace(run.id, run);
+  }
+  for (const auto& [id, member] : table_.members()) {
+    if (member.heard && table_.IsLive(member, now_) && !IsLeaving(member))
+      desired.emplace(id, member.run);
+  }
+  std::vector<member_run> runs;
+  for (const auto& [id, run] : desired)
+    runs.push_back(run);
+  return runs;
+}
+
+void membership_machine::impl::Propose(effects& out) {
+  const epoch& current = log_.current();
+  const bool first = current.name.number.value() == 0;
+  if (first && (now_ - started_ < kFirstEpochDelay || PeersHaveEpoch()))
+    return;
+  if (!first && now_ - adopted_at_ < limits::kEpochInterval)
+    return;
+  const std::vector<member_run> desired = DesiredMembers();
+  if (desired.empty() || desired == current.members) {
+    differs_since_.reset();
+    return;
+  }
+  const std::optional<std::size_t> rank = ProposerRank();
+  if (!differs_since_)
+    differs_since_ = now_;
+  if (!rank || now_ - *differs_since_ < *rank * kProposerDelay || !MayAppend())
+    return;
+  Append({.number = current.name.number.next(),
+          .base = current.name,
+          .ended = open_.ended(),
+          .members = desired},
+         out);
+}
+
+void membership_machine::impl::Refresh(effects& out) {
+  const epoch& current = log_.current();
+  const std::optional<std::size_t> rank = ProposerRank();
+  if (!rank || retention_ <= milliseconds(0) || !MayAppend() ||
+      !current.Has(settings_.self)) {
+    return;
+  }
+  const milliseconds due =
+      retention_ / kRefreshPart +
+      *rank * std::min(kProposerDelay, retention_ / kRefreshDelayPart);
+  if (now_ - recorded_at_ < due)
+    return;
+  Append({.number = current.name.number,
+          .base = current.name,
+          .refresh = true,
+          .ended = open_.ended(),
+          .members = current.members},
+         out);
+}
+
+void membership_machine::impl::Append(const epoch_record& record,
+                                      effects& out) {
+  append_request request;
+  request.stream = stream_id(std::string(kMembersStream));
+  request.token = ++tokens_;
+  request.records.push_back(EncodeEpochRecord(record));
+  pending_ = pending_append{request.token, now_};
+  appended_at_ = now_;
+  out.emplace_back(std::move(request));
+}
+
+}  // namespace dotterellead
