--- a/packages/membership/src/epoch_log.cc
+++ b/packages/membership/src/epoch_log.cc
@@ -5,7 +5,14 @@
 namespace dotterellead {
 
 bool epoch::Has(const member_run& run) const {
-  return std::find(members.begin(), members.end(), run) != members.end();
+  return IndexOf(run).has_value();
+}
+
+std::optional<std::size_t> epoch::IndexOf(const member_run& run) const {
+  const auto at = std::lower_bound(members.begin(), members.end(), run);
+  if (at == members.end() || *at != run)
+    return std::nullopt;
+  return static_cast<std::size_t>(at - members.begin());
 }
 
 void epoch_log::BeginBatch(log_offset first_kept, log_offset first_in_batch) {
--- a/packages/membership/src/epoch_log.h
+++ b/packages/membership/src/epoch_log.h
@@ -15,6 +15,8 @@
   // Sorted by id.
   std::vector<member_run> members;
   bool Has(const member_run& run) const;
+  // Position of `run` in members, or nullopt.
+  std::optional<std::size_t> IndexOf(const member_run& run) const;
 };
 
 // Applies records in log order. All hosts that read the same records come to
--- a/packages/membership/src/gossip_schedule.cc
+++ b/packages/membership/src/gossip_schedule.cc
@@ -16,6 +16,7 @@
     const std::set<std::string>& addresses,
     std::size_t count) {
   std::vector<std::pair<std::uint64_t, const std::string*>> order;
+  order.reserve(addresses.size());
   for (const std::string& address : addresses)
     order.emplace_back(StableHash(salt_ + address), &address);
   std::sort(order.begin(), order.end());
--- a/packages/membership/src/member_table.cc
+++ b/packages/membership/src/member_table.cc
@@ -36,6 +36,9 @@
     return &it->second;
   }
   it->second = known_member{.run = run, .advanced = now};
+  incarnation_id& newest =
+      newest_at_.try_emplace(run.address, run.incarnation).first->second;
+  newest = std::max(newest, run.incarnation);
   return &it->second;
 }
 
@@ -120,6 +123,11 @@
     return !keep.contains(entry.first) &&
            now - entry.second.advanced > kForgetAfter;
   });
+  if (newest_at_.size() <= 2 * kMaxMembers)
+    return;
+  newest_at_.clear();
+  for (const auto& [id, member] : members_)
+    newest_at_.emplace(member.run.address, member.run.incarnation);
 }
 
 bool member_table::IsLive(const known_member& member, time_point now) const {
@@ -140,13 +148,12 @@
 bool member_table::IsGone(const member_run& run, time_point now) const {
   if (run.id == self_.id || run.address == self_.address)
     return run.incarnation < self_.incarnation;
-  for (const auto& [id, member] : members_) {
-    if ((id == run.id || member.run.address == run.address) &&
-        member.run.incarnation > run.incarnation) {
-      return true;
-    }
-  }
   const known_member* known = Find(run.id);
+  if (known != nullptr && known->run.incarnation > run.incarnation)
+    return true;
+  const auto newest = newest_at_.find(run.address);
+  if (newest != newest_at_.end() && newest->second > run.incarnation)
+    return true;
   const bool silent = known == nullptr || !IsLive(*known, now);
   return silent && IsDropped(run);
 }
--- a/packages/membership/src/member_table.h
+++ b/packages/membership/src/member_table.h
@@ -78,6 +78,8 @@
 
   member_run self_;
   std::map<member_id, known_member> members_;
+  // The latest run that was heard of at each address.
+  std::map<std::string, incarnation_id> newest_at_;
   host_list listed_;
   std::set<std::string> seen_listed_;
   // Addresses that were asked for and are not on the list.
--- a/packages/membership/src/membership_impl.h
+++ b/packages/membership/src/membership_impl.h
@@ -72,7 +72,8 @@
   // This host's place among those that may propose, or nullopt.
   std::optional<std::size_t> ProposerRank() const;
   std::vector<member_run> DesiredMembers() const;
-  bool StaysInEpoch(const member_run& run, bool has_quorum) const;
+  bool StaysInEpoch(const member_run& run, bool remove_silent) const;
+  bool MayRemoveSilent() const;
   bool IsLeaving(const known_member& member) const;
   bool PeersHaveEpoch() const;
   bool HasQuorum() const;
--- a/packages/membership/src/membership_machine.cc
+++ b/packages/membership/src/membership_machine.cc
@@ -181,8 +181,7 @@
 void membership_machine::impl::SettleEpochs() {
   open_.CountGone(
       [this](const member_run& run) { return table_.IsGone(run, now_); }, now_);
-  if (AllListedReached())
-    open_.EndUnseen(now_);
+  open_.EndUnseen([this] { return AllListedReached(); }, now_);
   open_.Settle(log_.current().name.number, now_);
   std::set<member_id> keep;
   for (const member_run& run : log_.current().members)
--- a/packages/membership/src/proposals.cc
+++ b/packages/membership/src/proposals.cc
@@ -42,11 +42,13 @@
 std::optional<std::size_t> membership_machine::impl::ProposerRank() const {
   const epoch& current = log_.current();
   const bool insider = current.Has(settings_.self);
-  const bool all_gone =
-      std::all_of(current.members.begin(), current.members.end(),
-                  [&](const member_run& r) { return table_.IsGone(r, now_); });
-  if (!insider && !all_gone)
+  const auto is_gone = [&](const member_run& run) {
+    return table_.IsGone(run, now_);
+  };
+  if (!insider &&
+      !std::all_of(current.members.begin(), current.members.end(), is_gone)) {
     return std::nullopt;
+  }
   std::vector<std::pair<bool, member_id>> candidates = {
       {leaving_, settings_.self.id}};
   for (const auto& [id, member] : table_.members()) {
@@ -60,27 +62,40 @@
   return static_cast<std::size_t>(before);
 }
 
-// Without a quorum only members that are certainly gone are removed: a host
-// that is cut off, but reaches the log, must not exclude the others.
+// A host that is cut off, but reaches the log, must not exclude the others. It
+// may still have its right when it suspects them, as the suspect time is
+// shorter than T. So it must also hear more than half of the epoch.
+bool membership_machine::impl::MayRemoveSilent() const {
+  const std::vector<member_run>& members = log_.current().members;
+  const auto heard =
+      std::count_if(members.begin(), members.end(), [&](const member_run& run) {
+        const known_member* member = table_.FindLive(run.id, now_);
+        return run == settings_.self ||
+               (member != nullptr && member->run == run);
+      });
+  return HasQuorum() && 2 * static_cast<std::size_t>(heard) > members.size();
+}
+
+// Members that are certainly gone never stay.
 bool membership_machine::impl::StaysInEpoch(const member_run& run,
-                                            bool has_quorum) const {
+                                            bool remove_silent) const {
   if (run.id == settings_.self.id)
     return run == settings_.self && !leaving_;
   if (table_.IsGone(run, now_))
     return false;
-  if (!has_quorum)
+  if (!remove_silent)
     return true;
   const known_member* member = table_.FindLive(run.id, now_);
   return member != nullptr && member->run == run && !IsLeaving(*member);
 }
 
 std::vector<member_run> membership_machine::impl::DesiredMembers() const {
-  const bool has_quorum = HasQuorum();
+  const bool remove_silent = MayRemoveSilent();
   std::map<member_id, member_run> desired;
   if (!leaving_)
     desired.emplace(settings_.self.id, settings_.self);
   for (const member_run& run : log_.current().members) {
-    if (StaysInEpoch(run, has_quorum))
+    if (StaysInEpoch(run, remove_silent))
       desired.emplace(run.id, run);
   }
   for (const auto& [id, member] : table_.members()) {
--- a/packages/membership/src/quorum.cc
+++ b/packages/membership/src/quorum.cc
@@ -21,10 +21,9 @@
 void quorum::TakeAnswer(const self_report& report, time_point sent_at) {
   if (report.epoch != current_.name)
     return;
-  for (std::size_t i = 0; i < current_.members.size(); ++i) {
-    if (current_.members[i] == report.self)
-      answered_[i] = std::max(answered_[i].value_or(sent_at), sent_at);
-  }
+  const std::optional<std::size_t> i = current_.IndexOf(report.self);
+  if (i)
+    answered_[*i] = std::max(answered_[*i].value_or(sent_at), sent_at);
 }
 
 std::optional<time_point> quorum::ValidUntil(time_point now) const {
@@ -44,11 +43,8 @@
 }
 
 bool quorum::HasAnswered(const member_run& run) const {
-  for (std::size_t i = 0; i < current_.members.size(); ++i) {
-    if (current_.members[i] == run)
-      return answered_[i].has_value();
-  }
-  return false;
+  const std::optional<std::size_t> i = current_.IndexOf(run);
+  return i && answered_[*i].has_value();
 }
 
 void open_epochs::Add(const epoch& former) {
@@ -68,10 +64,10 @@
   for (auto& [number, open] : open_) {
     if (report.epoch.number <= number)
       continue;
-    for (std::size_t i = 0; i < open.left.size(); ++i) {
-      if (open.of.members[i] == report.self)
-        open.left[i] = true;
-    }
+    const std::optional<std::size_t> i = open.of.IndexOf(report.self);
+    if (!i || open.left[*i])
+      continue;
+    open.left[*i] = true;
     CountLeft(open, now);
   }
 }
@@ -98,8 +94,9 @@
     open.ended_at = now + AnswerValidity(open.left.size()) + kClockRateMargin;
 }
 
-void open_epochs::EndUnseen(time_point now) {
-  if (unseen_through_ > ended_ && !unseen_ended_at_)
+void open_epochs::EndUnseen(const std::function<bool()>& all_reached,
+                            time_point now) {
+  if (unseen_through_ > ended_ && !unseen_ended_at_ && all_reached())
     unseen_ended_at_ = now + AnswerValidity(kUnseenMembers) + kClockRateMargin;
 }
 
--- a/packages/membership/src/quorum.h
+++ b/packages/membership/src/quorum.h
@@ -50,9 +50,9 @@
   // Counts members as left for which `is_gone` holds.
   void CountGone(const std::function<bool(const member_run&)>& is_gone,
                  time_point now);
-  // All hosts that the platform lists have reached the current epoch, so none
-  // is left in an unseen one.
-  void EndUnseen(time_point now);
+  // Ends unseen epochs if `all_reached` holds: all hosts that the platform
+  // lists have reached the current epoch, so none is left in an unseen one.
+  void EndUnseen(const std::function<bool()>& all_reached, time_point now);
   // Takes from another host or a record that epochs up to `ended` have ended.
   void TakeEnded(epoch_number ended, time_point now);
   // Drops the epochs whose end has been reached; `current` is the epoch in
--- a/packages/peer/include/dotterellead/peer.h
+++ b/packages/peer/include/dotterellead/peer.h
@@ -47,7 +47,7 @@
 class peer_listener {
  public:
   // Throws invalid_setting_error if the secret is empty.
-  peer_listener(peer_listener_options options, peer_methods methods);
+  peer_listener(const peer_listener_options& options, peer_methods methods);
   ~peer_listener();
   peer_listener(const peer_listener&) = delete;
   peer_listener& operator=(const peer_listener&) = delete;
--- a/packages/peer/src/peer_links.cc
+++ b/packages/peer/src/peer_links.cc
@@ -78,8 +78,8 @@
     if (links_.size() + retired_.size() >= options_.max_links)
       return nullptr;
     try {
-      const auto link = std::make_shared<peer_link>(ParseSocketAddress(address),
-                                                    options_, counters_);
+      auto link = std::make_shared<peer_link>(ParseSocketAddress(address),
+                                              options_, counters_);
       links_.emplace(address, link);
       return link;
     } catch (const invalid_input_error&) {
--- a/packages/peer/src/peer_listener.cc
+++ b/packages/peer/src/peer_listener.cc
@@ -7,7 +7,7 @@
 
 class peer_listener::impl {
  public:
-  impl(peer_listener_options options, peer_methods methods)
+  impl(const peer_listener_options& options, peer_methods methods)
       : expected_(BearerValue(options.secret)),
         dispatcher_(std::move(methods)),
         listener_({.address = options.address, .threads = options.threads},
@@ -59,14 +59,14 @@
   http_listener listener_;
 };
 
-peer_listener::peer_listener(peer_listener_options options,
+peer_listener::peer_listener(const peer_listener_options& options,
                              peer_methods methods) {
   if (options.secret.empty()) {
     throw invalid_setting_error(
         "the peer secret is empty",
         "set the same secret in the environment of all entry hosts");
   }
-  impl_ = std::make_unique<impl>(std::move(options), std::move(methods));
+  impl_ = std::make_unique<impl>(options, std::move(methods));
 }
 
 peer_listener::~peer_listener() {
