--- a/packages/membership/src/proposals.cc
+++ b/packages/membership/src/proposals.cc
@@ -103,6 +103,7 @@
       desired.emplace(id, member.run);
   }
   std::vector<member_run> runs;
+  runs.reserve(desired.size());
   for (const auto& [id, run] : desired)
     runs.push_back(run);
   return runs;
--- a/packages/membership/tests/membership_test.cc
+++ b/packages/membership/tests/membership_test.cc
@@ -54,7 +54,7 @@
   ForEach(region, 0, region.hosts().size(), &fake_region::Resume);
 }
 
-const fault kFaults[] = {
+constexpr fault kFaults[] = {
     {"the proposer is killed", [](fake_region& r) { r.Kill(r.hosts()[0]); },
      Nothing},
     {"a minority is killed",
