--- a/packages/config/include/dotterellead/config.h
+++ b/packages/config/include/dotterellead/config.h
@@ -3,14 +3,17 @@
 #ifndef DOTTERELLEAD_CONFIG_H_
 #define DOTTERELLEAD_CONFIG_H_
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "dotterellead/core.h"
+#include "dotterellead/platform.h"
 
 namespace dotterellead {
 
@@ -152,6 +155,368 @@
                                       std::string_view method,
                                       std::string_view path);
 
+// ---- Records of the stream "config"
+// ----------------------------------------------------------
+
+// The log stream that holds the records below.
+const stream_id& ConfigStream();
+
+// A resource's kind and name.
+struct resource_key {
+  std::string kind;
+  std::string name;
+  auto operator<=>(const resource_key&) const = default;
+};
+resource_key KeyOf(const resource& r);
+
+// Sets a resource. `base` is the revision that it replaces, invalid if the
+// resource must not exist.
+struct apply_record {
+  resource item;
+  log_offset base;
+  std::string nonce;
+  bool operator==(const apply_record&) const = default;
+};
+
+struct remove_record {
+  resource_key key;
+  log_offset base;
+  std::string nonce;
+  bool operator==(const remove_record&) const = default;
+};
+
+// Advances the move with this revision from step `from_step`.
+struct move_step_record {
+  move_id move;
+  log_offset revision;
+  std::uint32_t from_step = 0;
+  move_progress next;
+  std::string nonce;
+  bool operator==(const move_step_record&) const = default;
+};
+
+// The whole table after all records up to `table.through`. Records between that
+// offset and the snapshot's own still apply.
+struct snapshot_record {
+  config_view table;
+  bool operator==(const snapshot_record&) const = default;
+};
+
+using config_record = std::
+    variant<apply_record, remove_record, move_step_record, snapshot_record>;
+
+struct offset_record {
+  log_offset offset;
+  config_record record;
+  bool operator==(const offset_record&) const = default;
+};
+
+// Outcome of replaying a record on a table.
+struct replay_decision {
+  bool accepted = false;
+  // The resource's revision after the record; invalid if it does not exist.
+  log_offset revision;
+  // Why the record was not accepted; empty if it was.
+  std::string reason;
+};
+
+// Applies `record`, read at `offset`, to `table` and moves `table.through` to
+// `offset`. A function of its arguments only, so that all hosts decide alike.
+replay_decision ReplayRecord(config_view& table,
+                             const config_record& record,
+                             log_offset offset);
+
+std::string EncodeConfigRecord(const config_record& record);
+// Throws protocol_error on malformed input.
+config_record DecodeConfigRecord(std::string_view text);
+
+// The revision of a resource; invalid if it does not exist.
+log_offset RevisionOf(const config_view& table, const resource_key& key);
+// The resource, or nullopt if it does not exist.
+std::optional<resource> FindResource(const config_view& table,
+                                     const resource_key& key);
+
+// ---- Messages of the config duty
+// -------------------------------------------------------------
+
+// An operator's write.
+struct write_request {
+  request_id request;
+  // Remove the resource instead of applying it; only kind and name count then.
+  bool remove = false;
+  resource item;
+  // The revision that the operator expects: an invalid offset means that the
+  // resource must not exist, nullopt takes the current revision.
+  std::optional<log_offset> expected;
+  time_point deadline;
+  // Only check; nothing is written.
+  bool dry_run = false;
+};
+
+// From the rollout duty. The answer is the next config_published; a proposal
+// that is lost or too late has no effect and may be repeated.
+struct propose_move_step {
+  move_id move;
+  log_offset revision;
+  std::uint32_t from_step = 0;
+  move_progress next;
+};
+
+// All accepted records from offset `from` to `through`. Offsets without a
+// record here were not accepted.
+struct peer_records {
+  log_offset from;
+  log_offset through;
+  std::vector<offset_record> records;
+  bool operator==(const peer_records&) const = default;
+};
+
+// A peer's whole table.
+struct peer_snapshot {
+  config_view table;
+  bool operator==(const peer_snapshot&) const = default;
+};
+
+// A peer asks for the state from offset `from`; answered by peer_answer.
+struct peer_fetch {
+  request_id request;
+  log_offset from;
+};
+
+// The highest config offset that a live peer reports. Offsets of peers without
+// a state are invalid and left out.
+struct peer_offsets {
+  log_offset highest;
+  // The peer's address, as fetch_from_peer gives it back.
+  std::string address;
+};
+
+// Whether this host is the live member with the lowest id, which appends the
+// snapshots.
+struct lowest_member {
+  bool is_self = false;
+};
+
+// ---- Effects of the config duty
+// --------------------------------------------------------------
+
+enum class change_action { kApplied, kRemoved, kStepped };
+std::string_view to_string(change_action action);
+
+// One accepted record, without its contents.
+struct config_change {
+  log_offset offset;
+  resource_key key;
+  change_action action = change_action::kApplied;
+  bool operator==(const config_change&) const = default;
+};
+
+// The table has advanced. Published once the host has a state, with offsets
+// that only grow.
+struct config_published {
+  config_snapshot view;
+  // What was accepted since the publication before, in log order.
+  std::vector<config_change> changes;
+  // False if `changes` is not all, because a whole table was taken over.
+  bool changes_complete = true;
+};
+
+// The record was read back at its offset. In a dry run, the resource's present
+// revision (invalid if it does not exist).
+struct write_accepted {
+  log_offset revision;
+};
+// Another record came first, or another resource is in the way. `current` is
+// the revision of the resource; invalid if it does not exist.
+struct write_conflict {
+  log_offset current;
+  std::string reason;
+};
+// Nothing was written, and nothing will be. The kind is kInvalidInput,
+// kNotFound, kUnavailable or kOverloaded.
+struct write_refused {
+  error_kind kind = error_kind::kInvalidInput;
+  std::string problem;
+  std::string remedy;
+};
+// The deadline passed before the log showed what became of the record.
+struct write_unknown {};
+
+using write_outcome =
+    std::variant<write_accepted, write_conflict, write_refused, write_unknown>;
+
+struct write_result {
+  request_id request;
+  write_outcome outcome;
+};
+
+// Asks the log duty to deliver the stream "config" from this offset on.
+struct set_tail_offset {
+  log_offset from;
+};
+
+// Asks a peer for its state from this offset on (its peer_fetch); the answer
+// comes as peer_records or peer_snapshot.
+struct fetch_from_peer {
+  std::string address;
+  log_offset from;
+};
+
+// Answer to peer_fetch.
+using peer_state = std::variant<peer_records, peer_snapshot>;
+struct peer_answer {
+  request_id request;
+  peer_state state;
+};
+
+// Whether the stream "config" can be read; told on each change.
+struct log_readable_changed {
+  bool readable = false;
+};
+
+std::string EncodePeerState(const peer_state& state);
+// Throws protocol_error on malformed input.
+peer_state DecodePeerState(std::string_view text);
+
+// ---- The machine
+// -----------------------------------------------------------------------------
+
+// Replicates the resource table by replaying the stream "config" and, where the
+// log cannot be read or no longer holds what is missing, from peers. Writes are
+// answered once their records are read back.
+class config_machine {
+ public:
+  using message = std::variant<log_batch,
+                               log_unavailable,
+                               append_result,
+                               write_request,
+                               propose_move_step,
+                               peer_records,
+                               peer_snapshot,
+                               peer_fetch,
+                               peer_offsets,
+                               lowest_member,
+                               tick>;
+  using effect = std::variant<config_published,
+                              write_result,
+                              append_request,
+                              set_tail_offset,
+                              fetch_from_peer,
+                              peer_answer,
+                              log_readable_changed>;
+
+  // `writer` makes nonces unique: it must differ between hosts and between runs
+  // of one host, such as "name/incarnation".
+  explicit config_machine(std::string writer) : writer_(std::move(writer)) {}
+
+  void Step(const message& m, const moment& now, std::vector<effect>& out);
+
+ private:
+  // A write whose record may be in the log.
+  struct pending_write {
+    request_id request;
+    std::string nonce;
+    resource_key key;
+    std::string text;
+    time_point deadline;
+    // Where the log said that it put the record.
+    log_offset appended_at;
+    // When the record is appended again with the same nonce.
+    std::optional<time_point> retry_at;
+    // An append got no answer, so that the record may be in the log.
+    bool in_doubt = false;
+    // A whole table was taken over, so that the record may have been passed
+    // without being seen.
+    bool passed_unseen = false;
+  };
+
+  // What the current step does; the state itself is below.
+  struct step_context {
+    const moment& now;
+    std::vector<effect>& out;
+  };
+
+  void Handle(const log_batch& batch, step_context& c);
+  void Handle(const log_unavailable& lost, step_context& c);
+  void Handle(const append_result& result, step_context& c);
+  void Handle(const write_request& request, step_context& c);
+  void Handle(const propose_move_step& proposal, step_context& c);
+  void Handle(const peer_records& records, step_context& c);
+  void Handle(const peer_snapshot& snapshot, step_context& c);
+  void Handle(const peer_fetch& fetch, step_context& c);
+  void Handle(const peer_offsets& offsets, step_context& c);
+  void Handle(const lowest_member& lowest, step_context& c);
+  void Handle(const tick&, step_context& c);
+
+  void Start(step_context& c);
+  void SetReadable(bool readable, step_context& c);
+  void Publish(step_context& c);
+
+  // Replay.
+  void ReplayBatch(const log_batch& batch, step_context& c);
+  void ReplayText(const log_record& record, bool live, step_context& c);
+  void ReplayOne(const config_record& record,
+                 log_offset offset,
+                 step_context& c);
+  void CollectAfterGap(const log_batch& batch, step_context& c);
+  bool TryCollectedSnapshot(step_context& c);
+  void TakeTable(const config_view& table);
+  void Remember(const config_record& record, log_offset offset);
+
+  // Writes.
+  std::optional<write_outcome> CheckWrite(const write_request& request,
+                                          const moment& now) const;
+  void Begin(const write_request& request, step_context& c);
+  void Settle(const std::string& nonce,
+              const write_outcome& outcome,
+              step_context& c);
+  void SettleAppended(pending_write& write, step_context& c);
+  void SettlePassed(step_context& c);
+  void ExpireWrites(step_context& c);
+  void RetryAppends(step_context& c);
+  void Append(std::uint64_t token, const std::string& text, step_context& c);
+  std::string NextNonce(std::uint64_t token) const;
+
+  void FetchIfBehind(step_context& c);
+  void AppendSnapshotIfDue(step_context& c);
+  log_offset next() const { return table_.through.next(); }
+
+  std::string writer_;
+  bool started_ = false;
+  config_view table_;
+  // False until the log was read to its end or a peer's state was taken.
+  bool has_state_ = false;
+  bool readable_ = false;
+  // The log's end at the last read, and how long it keeps records.
+  log_offset log_end_{0};
+  milliseconds retention_{0};
+  // Records after a gap, kept until a snapshot closes it.
+  std::vector<log_record> collected_;
+
+  // Accepted records from history_from_ on, for peers.
+  std::deque<offset_record> history_;
+  log_offset history_from_{0};
+
+  // Not yet published.
+  std::vector<config_change> changes_;
+  bool changes_complete_ = true;
+  std::optional<log_offset> published_next_;
+
+  std::uint64_t last_token_ = 0;
+  std::map<std::uint64_t, pending_write> writes_;
+  // Moves with a proposal under way, until when no further one is appended.
+  std::map<move_id, time_point> steps_under_way_;
+
+  peer_offsets best_peer_;
+  std::optional<time_point> behind_since_;
+  std::optional<time_point> fetch_sent_;
+
+  bool is_lowest_ = false;
+  // When the last snapshot was read at the log's end; unknown after a start.
+  std::optional<time_point> last_snapshot_;
+  std::optional<time_point> snapshot_sent_;
+};
+
 }  // namespace dotterellead
 
 #endif  // DOTTERELLEAD_CONFIG_H_
