--- a/packages/config/include/dotterellead/config.h
+++ b/packages/config/include/dotterellead/config.h
@@ -134,6 +134,8 @@
   std::map<pool_id, stored<pool_spec>> pools;
   std::map<data_centre_id, stored<data_centre_spec>> data_centres;
   std::map<move_id, stored_move> moves;
+  // Offset of the last record that removed any resource; invalid if none did.
+  log_offset last_removal;
 
   bool IsOut(const data_centre_id& name) const;
   bool operator==(const config_view&) const = default;
@@ -170,10 +172,13 @@
 resource_key KeyOf(const resource& r);
 
 // Sets a resource. `base` is the revision that it replaces, invalid if the
-// resource must not exist.
+// resource must not exist. `seen` is the offset that the writer had read; a
+// creation loses against a removal after it, as a second copy of a record could
+// otherwise bring a removed resource back.
 struct apply_record {
   resource item;
   log_offset base;
+  log_offset seen;
   std::string nonce;
   bool operator==(const apply_record&) const = default;
 };
@@ -214,7 +219,8 @@
 // Outcome of replaying a record on a table.
 struct replay_decision {
   bool accepted = false;
-  // The resource's revision after the record; invalid if it does not exist.
+  // The resource's revision after the record, invalid if it does not exist; the
+  // record's own offset if it removed the resource.
   log_offset revision;
   // Why the record was not accepted; empty if it was.
   std::string reason;
@@ -321,8 +327,10 @@
   bool changes_complete = true;
 };
 
-// The record was read back at its offset. In a dry run, the resource's present
-// revision (invalid if it does not exist).
+// The record was read back at its offset. `revision` is the resource's
+// revision, which stays the same if its spec did; of a removal, the record's
+// offset; in a dry run, the present revision (invalid if the resource does not
+// exist).
 struct write_accepted {
   log_offset revision;
 };
@@ -448,34 +456,37 @@
   void Handle(const lowest_member& lowest, step_context& c);
   void Handle(const tick&, step_context& c);
 
-  void Start(step_context& c);
   void SetReadable(bool readable, step_context& c);
   void Publish(step_context& c);
 
   // Replay.
   void ReplayBatch(const log_batch& batch, step_context& c);
-  void ReplayText(const log_record& record, bool live, step_context& c);
+  void ReplayText(const log_record& record, step_context& c);
   void ReplayOne(const config_record& record,
                  log_offset offset,
                  step_context& c);
-  void CollectAfterGap(const log_batch& batch, step_context& c);
-  bool TryCollectedSnapshot(step_context& c);
+  void Collect(const log_batch& batch, step_context& c);
+  void ReplayCollected(step_context& c);
   void TakeTable(const config_view& table);
+  void TakenFromPeer(step_context& c);
   void Remember(const config_record& record, log_offset offset);
 
   // Writes.
   std::optional<write_outcome> CheckWrite(const write_request& request,
                                           const moment& now) const;
+  std::optional<write_outcome> CheckAvailable(const write_request& request,
+                                              const moment& now) const;
+  std::optional<write_outcome> CheckRevision(
+      const write_request& request) const;
   void Begin(const write_request& request, step_context& c);
-  void Settle(const std::string& nonce,
-              const write_outcome& outcome,
-              step_context& c);
-  void SettleAppended(pending_write& write, step_context& c);
+  void SettleByNonce(const std::string& nonce,
+                     const replay_decision& decision,
+                     step_context& c);
   void SettlePassed(step_context& c);
-  void ExpireWrites(step_context& c);
-  void RetryAppends(step_context& c);
+  void TickWrites(step_context& c);
+  void RetryAppend(std::uint64_t token, pending_write& write, step_context& c);
   void Append(std::uint64_t token, const std::string& text, step_context& c);
-  std::string NextNonce(std::uint64_t token) const;
+  std::string NonceOf(std::uint64_t token) const;
 
   void FetchIfBehind(step_context& c);
   void AppendSnapshotIfDue(step_context& c);
@@ -487,10 +498,14 @@
   // False until the log was read to its end or a peer's state was taken.
   bool has_state_ = false;
   bool readable_ = false;
-  // The log's end at the last read, and how long it keeps records.
-  log_offset log_end_{0};
+  // The log's end at the last read, when that was, and how long it keeps
+  // records.
+  log_offset log_end_;
+  time_point last_read_;
   milliseconds retention_{0};
-  // Records after a gap, kept until a snapshot closes it.
+  // The log no longer holds the records that this host has not replayed.
+  bool in_gap_ = false;
+  // Records after the gap, kept until a snapshot or a peer closes it.
   std::vector<log_record> collected_;
 
   // Accepted records from history_from_ on, for peers.
@@ -503,6 +518,7 @@
   std::optional<log_offset> published_next_;
 
   std::uint64_t last_token_ = 0;
+  // By the token of their appends.
   std::map<std::uint64_t, pending_write> writes_;
   // Moves with a proposal under way, until when no further one is appended.
   std::map<move_id, time_point> steps_under_way_;
@@ -512,7 +528,7 @@
   std::optional<time_point> fetch_sent_;
 
   bool is_lowest_ = false;
-  // When the last snapshot was read at the log's end; unknown after a start.
+  // When the last snapshot was written at the earliest; unknown after a start.
   std::optional<time_point> last_snapshot_;
   std::optional<time_point> snapshot_sent_;
 };
--- /dev/null
+++ b/packages/config/src/config_machine.cc
@@ -0,0 +1,276 @@
+#include <algorithm>
+
+#include "config_replay.h"
+
+namespace dotterellead {
+namespace {
+
+// Accepted records kept for peers; a peer that lacks more gets the whole table.
+constexpr std::size_t kMaxHistory = 1024;
+// How long a readable log may lag behind a peer before the peer is asked.
+constexpr milliseconds kPeerPatience{500};
+// After this time without an answer, a peer is asked again.
+constexpr milliseconds kFetchRetry{300};
+constexpr milliseconds kSnapshotRetry{2'000};
+// A snapshot is due after an eighth of the retention. The half of the allowed
+// quarter that is left covers failed appends and a change of the lowest member.
+constexpr int kSnapshotsPerRetention = 8;
+
+// nullopt if malformed. All hosts see the same text, so all skip it.
+std::optional<config_record> TryDecode(const std::string& text) {
+  try {
+    return DecodeConfigRecord(text);
+  } catch (const protocol_error&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+void config_machine::Step(const message& m,
+                          const moment& now,
+                          std::vector<effect>& out) {
+  step_context c{now, out};
+  if (!started_) {
+    started_ = true;
+    out.push_back(set_tail_offset{next()});
+  }
+  std::visit([&](const auto& body) { Handle(body, c); }, m);
+  Publish(c);
+}
+
+void config_machine::Publish(step_context& c) {
+  if (!has_state_ || published_next_ == next())
+    return;
+  published_next_ = next();
+  c.out.push_back(config_published{std::make_shared<const config_view>(table_),
+                                   std::move(changes_), changes_complete_});
+  changes_.clear();
+  changes_complete_ = true;
+}
+
+void config_machine::SetReadable(bool readable, step_context& c) {
+  if (readable_ == readable)
+    return;
+  readable_ = readable;
+  c.out.push_back(log_readable_changed{readable});
+}
+
+// ---- The log
+// ---------------------------------------------------------------------------------
+
+void config_machine::Handle(const log_batch& batch, step_context& c) {
+  if (batch.stream != ConfigStream())
+    return;
+  SetReadable(true, c);
+  retention_ = batch.retention;
+  ReplayBatch(batch, c);
+  log_end_ = batch.next;
+  last_read_ = c.now.steady;
+  if (!in_gap_ && next() >= log_end_)
+    has_state_ = true;
+  FetchIfBehind(c);
+}
+
+void config_machine::Handle(const log_unavailable& lost, step_context& c) {
+  if (lost.stream != ConfigStream())
+    return;
+  SetReadable(false, c);
+  FetchIfBehind(c);
+}
+
+void config_machine::ReplayBatch(const log_batch& batch, step_context& c) {
+  in_gap_ = batch.first > next();
+  if (in_gap_ || !collected_.empty()) {
+    Collect(batch, c);
+    return;
+  }
+  for (const log_record& record : batch.records) {
+    if (record.offset < next())
+      continue;
+    if (record.offset > next()) {
+      c.out.push_back(set_tail_offset{next()});
+      return;
+    }
+    ReplayText(record, c);
+    behind_since_.reset();
+  }
+}
+
+void config_machine::ReplayText(const log_record& record, step_context& c) {
+  const std::optional<config_record> decoded = TryDecode(record.data);
+  if (!decoded) {
+    table_.through = record.offset;
+    return;
+  }
+  // Written after the last read, so at the earliest at that time.
+  const bool is_new = log_end_.is_valid() && record.offset >= log_end_;
+  if (is_new && std::holds_alternative<snapshot_record>(*decoded))
+    last_snapshot_ = last_read_;
+  ReplayOne(*decoded, record.offset, c);
+}
+
+void config_machine::ReplayOne(const config_record& record,
+                               log_offset offset,
+                               step_context& c) {
+  const replay_decision decision = ReplayRecord(table_, record, offset);
+  if (decision.accepted)
+    Remember(record, offset);
+  if (const auto* step = std::get_if<move_step_record>(&record))
+    steps_under_way_.erase(step->move);
+  SettleByNonce(NonceOfRecord(record), decision, c);
+}
+
+void config_machine::Remember(const config_record& record, log_offset offset) {
+  const std::optional<config_change> change = ChangeOf(record, offset);
+  if (!change)
+    return;
+  changes_.push_back(*change);
+  history_.push_back({offset, record});
+  if (history_.size() > kMaxHistory) {
+    history_from_ = history_.front().offset.next();
+    history_.pop_front();
+  }
+}
+
+// ---- Truncated logs
+// --------------------------------------------------------------------------
+
+void config_machine::Collect(const log_batch& batch, step_context& c) {
+  for (const log_record& record : batch.records) {
+    if (!collected_.empty() && record.offset <= collected_.back().offset)
+      continue;
+    if (!collected_.empty() && record.offset > collected_.back().offset.next())
+      collected_.clear();
+    collected_.push_back(record);
+    const std::optional<config_record> decoded = TryDecode(record.data);
+    const auto* snapshot =
+        decoded ? std::get_if<snapshot_record>(&*decoded) : nullptr;
+    if (snapshot == nullptr)
+      continue;
+    const log_offset resumes_at = snapshot->table.through.next();
+    if (resumes_at > next() && resumes_at >= collected_.front().offset)
+      TakeTable(snapshot->table);
+  }
+  ReplayCollected(c);
+}
+
+// Continues with the records after a gap once the table reaches them.
+void config_machine::ReplayCollected(step_context& c) {
+  if (collected_.empty() || collected_.front().offset > next())
+    return;
+  in_gap_ = false;
+  const std::vector<log_record> records = std::move(collected_);
+  collected_.clear();
+  for (const log_record& record : records) {
+    if (record.offset == next())
+      ReplayText(record, c);
+  }
+}
+
+// Replaces the table by a later one.
+void config_machine::TakeTable(const config_view& table) {
+  table_ = table;
+  history_.clear();
+  history_from_ = next();
+  changes_.clear();
+  changes_complete_ = false;
+  steps_under_way_.clear();
+  for (auto& [token, write] : writes_)
+    write.passed_unseen = true;
+}
+
+// ---- Peers
+// -----------------------------------------------------------------------------------
+
+void config_machine::Handle(const peer_records& records, step_context& c) {
+  fetch_sent_.reset();
+  if (records.from > next() || records.through.next() <= next())
+    return;
+  for (const offset_record& r : records.records) {
+    if (r.offset >= next())
+      ReplayOne(r.record, r.offset, c);
+  }
+  table_.through = records.through;
+  TakenFromPeer(c);
+}
+
+void config_machine::Handle(const peer_snapshot& snapshot, step_context& c) {
+  fetch_sent_.reset();
+  if (snapshot.table.through.next() <= next())
+    return;
+  TakeTable(snapshot.table);
+  TakenFromPeer(c);
+}
+
+void config_machine::TakenFromPeer(step_context& c) {
+  has_state_ = true;
+  behind_since_.reset();
+  ReplayCollected(c);
+  SettlePassed(c);
+  c.out.push_back(set_tail_offset{next()});
+}
+
+void config_machine::Handle(const peer_fetch& fetch, step_context& c) {
+  if (fetch.from < history_from_) {
+    c.out.push_back(peer_answer{fetch.request, peer_snapshot{table_}});
+    return;
+  }
+  peer_records records{fetch.from, table_.through, {}};
+  std::copy_if(history_.begin(), history_.end(),
+               std::back_inserter(records.records),
+               [&](const offset_record& r) { return r.offset >= fetch.from; });
+  c.out.push_back(peer_answer{fetch.request, std::move(records)});
+}
+
+void config_machine::Handle(const peer_offsets& offsets, step_context& c) {
+  best_peer_ = offsets;
+  FetchIfBehind(c);
+}
+
+void config_machine::FetchIfBehind(step_context& c) {
+  if (best_peer_.highest.next() <= next()) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_)
+    behind_since_ = c.now.steady;
+  const bool log_serves = readable_ && !in_gap_;
+  if (log_serves && c.now.steady - *behind_since_ < kPeerPatience)
+    return;
+  if (fetch_sent_ && c.now.steady - *fetch_sent_ < kFetchRetry)
+    return;
+  fetch_sent_ = c.now.steady;
+  c.out.push_back(fetch_from_peer{best_peer_.address, next()});
+}
+
+// ---- Snapshots and ticks
+// ---------------------------------------------------------------------
+
+void config_machine::Handle(const lowest_member& lowest, step_context& c) {
+  is_lowest_ = lowest.is_self;
+  AppendSnapshotIfDue(c);
+}
+
+void config_machine::Handle(const tick&, step_context& c) {
+  TickWrites(c);
+  FetchIfBehind(c);
+  AppendSnapshotIfDue(c);
+}
+
+void config_machine::AppendSnapshotIfDue(step_context& c) {
+  const bool caught_up = has_state_ && !in_gap_ && next() >= log_end_;
+  if (!is_lowest_ || !readable_ || !caught_up || retention_.count() == 0 ||
+      !table_.through.is_valid())
+    return;
+  const milliseconds interval = retention_ / kSnapshotsPerRetention;
+  if (last_snapshot_ && c.now.steady - *last_snapshot_ < interval)
+    return;
+  const milliseconds retry = std::min(interval, kSnapshotRetry);
+  if (snapshot_sent_ && c.now.steady - *snapshot_sent_ < retry)
+    return;
+  snapshot_sent_ = c.now.steady;
+  Append(++last_token_, EncodeConfigRecord(snapshot_record{table_}), c);
+}
+
+}  // namespace dotterellead
