--- a/apps/dotterelleadctl/commands.cc
+++ b/apps/dotterelleadctl/commands.cc
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include <array>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -35,18 +36,21 @@
 
 }  // namespace
 
-const std::array<commands::entry, 7> commands::kCommands = {{
-    {"apply", &commands::Apply},
-    {"get", &commands::Get},
-    {"list", &commands::List},
-    {"delete", &commands::Delete},
-    {"watch", &commands::Watch},
-    {"status", &commands::Status},
-    {"explain", &commands::Explain},
-}};
+std::span<const commands::entry> commands::Commands() {
+  static constexpr std::array<entry, 7> kCommands = {{
+      {"apply", &commands::Apply},
+      {"get", &commands::Get},
+      {"list", &commands::List},
+      {"delete", &commands::Delete},
+      {"watch", &commands::Watch},
+      {"status", &commands::Status},
+      {"explain", &commands::Explain},
+  }};
+  return kCommands;
+}
 
 exit_code commands::Run() {
-  for (const entry& e : kCommands) {
+  for (const entry& e : Commands()) {
     if (e.name == options_.command)
       return (this->*e.run)();
   }
--- a/apps/dotterelleadctl/commands.h
+++ b/apps/dotterelleadctl/commands.h
@@ -2,8 +2,8 @@
 #ifndef DOTTERELLEADCTL_COMMANDS_H_
 #define DOTTERELLEADCTL_COMMANDS_H_
 
-#include <array>
 #include <ostream>
+#include <span>
 #include <string_view>
 
 #include "client.h"
@@ -24,7 +24,7 @@
     std::string_view name;
     command run;
   };
-  static const std::array<entry, 7> kCommands;
+  static std::span<const entry> Commands();
 
   exit_code Apply();
   exit_code Get();
--- a/packages/config/src/config_machine.cc
+++ b/packages/config/src/config_machine.cc
@@ -266,7 +266,7 @@
   const milliseconds interval = retention_ / kSnapshotsPerRetention;
   if (last_snapshot_ && c.now.steady - *last_snapshot_ < interval)
     return;
-  const milliseconds retry = std::min(interval, kSnapshotRetry);
+  const milliseconds retry = std::min(interval / 4, kSnapshotRetry);
   if (snapshot_sent_ && c.now.steady - *snapshot_sent_ < retry)
     return;
   snapshot_sent_ = c.now.steady;
--- a/packages/config/src/config_record_codec.cc
+++ b/packages/config/src/config_record_codec.cc
@@ -110,12 +110,12 @@
 
 template <class Map>
 void WriteAll(const Map& resources, Json::Value& list) {
-  for (const auto& [name, stored] : resources) {
+  for (const auto& [name, found] : resources) {
     Json::Value item;
-    item["resource"] = WriteResource({name.value(), stored.spec});
-    item["revision"] = WriteOffset(stored.revision);
-    if constexpr (requires { stored.progress; })
-      item["progress"] = WriteProgress(stored.progress);
+    item["resource"] = WriteResource({name.value(), found.spec});
+    item["revision"] = WriteOffset(found.revision);
+    if constexpr (std::is_same_v<typename Map::mapped_type, stored_move>)
+      item["progress"] = WriteProgress(found.progress);
     list.append(std::move(item));
   }
 }
--- a/packages/config/tests/config_machine_test.cc
+++ b/packages/config/tests/config_machine_test.cc
@@ -54,7 +54,9 @@
         c.Run(start + length);
         c.log.fault = log_fault::kNone;
         c.Run(100);
-        c.CheckAnswers(r.unknown_allowed || length == 90);
+        // Without any answer for longer than the deadline, nothing is certain.
+        const bool mute = r.fault == log_fault::kLosesAppends && length == 90;
+        c.CheckAnswers(r.unknown_allowed || mute);
         c.CheckConverged();
       }
     }
@@ -178,7 +180,6 @@
       c.Run(10);
     }
     CHECK(c.log.first > 6);
-    CHECK(c.snapshots < 60);
     c.Restart(0);
     c.Restart(3);
     c.Run(20);
@@ -188,5 +189,31 @@
   }
 }
 
+// Guards against a log that holds no snapshot, and against snapshots that fill
+// it: the lowest member changes and appends are refused meanwhile.
+TEST_CASE("snapshots are at most a quarter of the retention apart") {
+  fake_cluster c(kHosts);
+  c.log.retention_ticks = 160;
+  c.Run(3);
+  c.Write(1, Pool("a", "t"));
+  for (int t = 0; t < 400; ++t) {
+    if (t == 150)
+      c.Kill(0);
+    if (t == 250)
+      c.Restart(0);
+    c.log.fault = t % 100 < 12 ? log_fault::kRefusesAppends : log_fault::kNone;
+    c.Tick();
+  }
+  std::vector<int> written;
+  for (const fake_log::entry& e : c.log.entries) {
+    if (e.text.find("\"snapshot\"") != std::string::npos)
+      written.push_back(e.tick);
+  }
+  REQUIRE(written.size() >= 10);
+  CHECK(written.size() <= 2 + 400 / 20);
+  for (std::size_t i = 1; i < written.size(); ++i)
+    CHECK(written[i] - written[i - 1] <= 40);
+}
+
 }  // namespace
 }  // namespace dotterellead
--- a/packages/config/tests/config_replay_test.cc
+++ b/packages/config/tests/config_replay_test.cc
@@ -105,6 +105,30 @@
     CHECK_THROWS_AS(DecodeConfigRecord(bad), protocol_error);
 }
 
+// Guards against "conflict" for a record that may have been accepted: it lies
+// before a whole table that was taken over, in which another revision counts.
+TEST_CASE("a write below a table taken over is unknown unless still in place") {
+  for (const bool in_place : {false, true}) {
+    config_machine m("h/1");
+    effects out;
+    m.Step(log_batch{ConfigStream(), {}, log_offset(0), log_offset(0)},
+           moment{}, out);
+    m.Step(write_request{request_id(1), false, Pool("a", "t"), std::nullopt,
+                         time_point(milliseconds(9'000))},
+           moment{}, out);
+    const auto append = std::get<append_request>(out.back());
+    config_view table = TableThrough(9);
+    StoreResource(table, Pool("a", "x"), log_offset(in_place ? 5 : 7));
+    m.Step(peer_snapshot{table}, moment{}, out);
+    m.Step(append_result{ConfigStream(), append.token, append_status::kAppended,
+                         log_offset(5)},
+           moment{}, out);
+    const auto& outcome = std::get<write_result>(out.back()).outcome;
+    CHECK(std::holds_alternative<write_accepted>(outcome) == in_place);
+    CHECK(std::holds_alternative<write_unknown>(outcome) == !in_place);
+  }
+}
+
 // Guards against a malformed record that stops replay.
 TEST_CASE("a malformed record is passed over") {
   config_machine m("h/1");
--- a/packages/config/tests/fake_cluster.h
+++ b/packages/config/tests/fake_cluster.h
@@ -112,6 +112,7 @@
   int run = 0;
   resource item;
   bool remove = false;
+  time_point deadline{};
   std::optional<write_outcome> outcome;
   template <class Outcome>
   bool Is() const {
@@ -153,7 +154,8 @@
                     std::optional<log_offset> expected = std::nullopt,
                     bool remove = false,
                     int deadline_ticks = 60) {
-    writes.push_back({i, hosts[i].run, item, remove, std::nullopt});
+    writes.push_back({i, hosts[i].run, item, remove,
+                      Now().steady + deadline_ticks * kTick, std::nullopt});
     Post(i, write_request{request_id(writes.size() - 1), remove, item, expected,
                           Now().steady + deadline_ticks * kTick});
     return writes.size() - 1;
@@ -179,7 +181,8 @@
   }
 
   moment Now() const {
-    return {time_point(kTick * log.now), unix_millis{log.now * 50}};
+    return {time_point(kTick * log.now),
+            unix_millis{std::int64_t{log.now} * 50}};
   }
 
   // Compares all answers with what a replay of the whole log decides.
@@ -218,7 +221,7 @@
   std::vector<host> hosts;
   std::vector<issued_write> writes;
   bool peers_on = true;
-  std::size_t snapshots = 0;
+  std::vector<int> snapshot_ticks;
 
  private:
   void TickHost(std::size_t i) {
@@ -282,10 +285,11 @@
     issued_write& w = writes.at(r.request.value());
     CHECK_FALSE(w.outcome.has_value());
     w.outcome = r.outcome;
+    CHECK((!w.Is<write_unknown>() || Now().steady >= w.deadline));
   }
   void Carry(std::size_t i, const append_request& r) {
     if (r.records[0].find("\"snapshot\"") != std::string::npos)
-      ++snapshots;
+      snapshot_ticks.push_back(log.now);
     append_result result{r.stream, r.token, append_status::kRefused, {}};
     if (!hosts[i].cut_from_log)
       result = log.Append(r);
--- a/packages/operate/include/dotterellead/operate.h
+++ b/packages/operate/include/dotterellead/operate.h
@@ -3,13 +3,13 @@
 #ifndef DOTTERELLEAD_OPERATE_H_
 #define DOTTERELLEAD_OPERATE_H_
 
-#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -185,7 +185,7 @@
     handler handle;
     bool open = false;
   };
-  static const std::array<route, 13> kRoutes;
+  static std::span<const route> Routes();
 
   http_answer Dispatch(const http_request& request);
   bool IsAuthorised(const http_request& request) const;
--- a/packages/operate/src/operate_codec.cc
+++ b/packages/operate/src/operate_codec.cc
@@ -52,6 +52,7 @@
 std::vector<resource_key> KeysOf(const Map& resources,
                                  const std::string& kind) {
   std::vector<resource_key> keys;
+  keys.reserve(resources.size());
   for (const auto& [name, stored] : resources)
     keys.push_back({kind, name.value()});
   return keys;
--- a/packages/operate/src/operator_api.cc
+++ b/packages/operate/src/operator_api.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include "operate_codec.h"
@@ -117,21 +118,24 @@
 }  // namespace
 
 // Fixed paths come before patterns that they would match too.
-const std::array<operator_api::route, 13> operator_api::kRoutes = {{
-    {"GET", "/health/alive", &operator_api::GetAlive, true},
-    {"GET", "/health/ready", &operator_api::GetReady, true},
-    {"GET", "/health/leaving", &operator_api::GetLeaving, true},
-    {"GET", "/metrics", &operator_api::GetMetrics},
-    {"GET", "/v1/kinds", &operator_api::GetKinds},
-    {"GET", "/v1/watch", &operator_api::GetWatch},
-    {"GET", "/v1/status", &operator_api::GetStatus},
-    {"GET", "/v1/explain", &operator_api::GetExplain},
-    {"GET", "/v1/stats", &operator_api::GetStats},
-    {"GET", "/v1/*", &operator_api::GetList},
-    {"GET", "/v1/*/*", &operator_api::GetOne},
-    {"PUT", "/v1/*/*", &operator_api::PutOne},
-    {"DELETE", "/v1/*/*", &operator_api::DeleteOne},
-}};
+std::span<const operator_api::route> operator_api::Routes() {
+  static constexpr std::array<route, 13> kRoutes = {{
+      {"GET", "/health/alive", &operator_api::GetAlive, true},
+      {"GET", "/health/ready", &operator_api::GetReady, true},
+      {"GET", "/health/leaving", &operator_api::GetLeaving, true},
+      {"GET", "/metrics", &operator_api::GetMetrics},
+      {"GET", "/v1/kinds", &operator_api::GetKinds},
+      {"GET", "/v1/watch", &operator_api::GetWatch},
+      {"GET", "/v1/status", &operator_api::GetStatus},
+      {"GET", "/v1/explain", &operator_api::GetExplain},
+      {"GET", "/v1/stats", &operator_api::GetStats},
+      {"GET", "/v1/*", &operator_api::GetList},
+      {"GET", "/v1/*/*", &operator_api::GetOne},
+      {"PUT", "/v1/*/*", &operator_api::PutOne},
+      {"DELETE", "/v1/*/*", &operator_api::DeleteOne},
+  }};
+  return kRoutes;
+}
 
 operator_api::operator_api(operator_backend& backend,
                            const clock_source& clock,
@@ -154,7 +158,7 @@
   // Without the secret, not even the paths that exist are told.
   const bool authorised = IsAuthorised(request);
   bool path_known = false;
-  for (const route& r : kRoutes) {
+  for (const route& r : Routes()) {
     const auto stars = MatchPattern(r.pattern, path);
     if (!stars || (!r.open && !authorised))
       continue;
