--- a/apps/dotterelleadctl/tests/commands_test.cc
+++ b/apps/dotterelleadctl/tests/commands_test.cc
@@ -47,7 +47,10 @@
   std::ostringstream problems;
 };
 
-const socket_address kNoHost{"127.0.0.1", 1};
+// An address that refuses connections.
+socket_address NoHost() {
+  return {"127.0.0.1", 1};
+}
 
 ctl ApplyTo(std::vector<socket_address> hosts) {
   ctl c;
@@ -85,7 +88,7 @@
 TEST_CASE("a write goes to a further host only if none was reached") {
   scripted_host first;
   scripted_host second;
-  ctl reached = ApplyTo({kNoHost, second.listener.address()});
+  ctl reached = ApplyTo({NoHost(), second.listener.address()});
   CHECK(reached.Run("apply") == exit_code::kOk);
   CHECK(second.asked.size() == 5);
   first.cut = true;
@@ -93,7 +96,7 @@
   CHECK(cut.Run("apply") == exit_code::kUnknownOutcome);
   CHECK(first.asked.size() == 1);
   CHECK(second.asked.size() == 5);
-  ctl none = ApplyTo({kNoHost});
+  ctl none = ApplyTo({NoHost()});
   CHECK(none.Run("apply") == exit_code::kUnavailable);
 }
 
@@ -103,7 +106,7 @@
   scripted_host second;
   first.status = 503;
   ctl c;
-  c.o.hosts = {kNoHost, first.listener.address(), second.listener.address()};
+  c.o.hosts = {NoHost(), first.listener.address(), second.listener.address()};
   c.o.kind = "pool";
   CHECK(c.Run("list") == exit_code::kOk);
   CHECK(second.asked.size() == 1);
