Decide moves from evidence of both versions

A move needs verdicts without anyone watching. Steps follow a plan over the time to the deadline; each host compares the versions per route over the same steps with an exact stratified test, for failures and for answers slower than the old version's quantiles. Rolled back is sticky and spreads between hosts without the log; done is a record only.

--- a/packages/rollout/include/dotterellead/rollout.h
+++ b/packages/rollout/include/dotterellead/rollout.h
@@ -193,6 +193,9 @@
   // Shortest time at 100% before a move is done.
   milliseconds shortest_observation{15'000};
   milliseconds evidence_interval{500};
+  // A host that finds a move under way sends nothing to the new version for
+  // this time: its peers may know of a rollback that is not in the log.
+  milliseconds join_hold{1'500};
   // Pause before a proposal or a rollback message is repeated.
   milliseconds repeat_interval{1'000};
 };
@@ -241,16 +244,14 @@
     unix_millis started;
     time_point first_seen;
     time_point step_entered;
+    // Found with a share already given, so that peers may know of a rollback.
+    bool joined = false;
     // Set once this host treats the move as rolled back.
     std::string rollback_reason;
-    bool superseded = false;
     time_point next_proposal;
     time_point next_rollback_message;
     std::map<source, std::map<evidence_key, attempt_tally>> evidence;
     std::deque<evidence_slice> slices;
-    bool unsent = false;
-    time_point last_sent;
-
     bool is_rolled_back() const { return !rollback_reason.empty(); }
   };
 
@@ -266,32 +267,74 @@
   void On(const tick& m, const moment& now, effects& out);
 
   void TakeMove(const move_id& id, const stored_move& stored, const moment&);
-  void MarkSuperseded();
+  void FindNewestMoves();
   move_state* FindMove(const move_id& id, log_offset revision);
+  bool IsSuperseded(const move_state& move) const;
   // Raises the stored total and adds the growth to the current slice.
   void Merge(move_state& move,
              const source& from,
              const evidence_key& key,
              const attempt_tally& total,
              const moment& now);
-  void Judge(move_state& move, const moment& now, effects& out);
+  void SendEvidence(const moment& now, effects& out);
+  void PublishShares(const moment& now, effects& out);
+  version_shares SharesOf(const move_state& move, const moment& now) const;
+  std::uint32_t CapacityPerMille(const move_state& move,
+                                 const moment& now) const;
+
+  // New and old version, by step and route.
+  using pair_table = std::map<std::pair<std::uint32_t, route_id>,
+                              std::pair<attempt_tally, attempt_tally>>;
+  struct traffic {
+    bool is_known = false;
+    double pool = 0;
+    std::map<route_id, double> routes;
+  };
+  static pair_table Totals(const move_state& move);
+  static pair_table Recent(const move_state& move,
+                           const moment& now,
+                           milliseconds window);
+  // Requests over the whole move at the current rate.
+  static traffic ExpectedTraffic(const move_state& move, const moment& now);
+
+  void Decide(move_state& move, const moment& now, effects& out);
+  // Compares the versions over several windows; sets `suspect` if the new one
+  // may be worse. Returns the fault, empty if none.
+  static std::string FindFault(const move_state& move,
+                               const pair_table& totals,
+                               const moment& now,
+                               bool& suspect);
   void RollBack(move_state& move,
                 const std::string& reason,
                 const moment& now,
                 effects& out);
-  void SpreadRollback(move_state& move, const moment& now, effects& out);
+  void RepeatRollback(move_state& move, const moment& now, effects& out);
+  void Advance(move_state& move,
+               const pair_table& totals,
+               const moment& now,
+               effects& out);
+  // Whether the evidence allows more than the current share.
+  static bool HasEarned(const move_state& move,
+                        const pair_table& totals,
+                        const traffic& expected);
+  // Whether a larger share of little traffic is needed and allowed.
+  static bool NeedsTrial(const move_state& move,
+                         const pair_table& totals,
+                         const traffic& expected,
+                         const moment& now);
+  // True if a step for a trial with little traffic, or its end, is due.
+  bool AdjustTrial(move_state& move,
+                   const pair_table& totals,
+                   const traffic& expected,
+                   const moment& now,
+                   effects& out);
   void Propose(move_state& move,
-               const move_progress& progress,
-               milliseconds rank_delay,
+               std::uint32_t share,
+               move_verdict verdict,
+               const std::string& reason,
                const moment& now,
                effects& out);
-  void Advance(move_state& move, const moment& now, effects& out);
-  void SendEvidence(const moment& now, effects& out);
-  void PublishShares(const moment& now, effects& out);
-  version_shares SharesOf(const move_state& move, const moment& now) const;
-  std::uint32_t CapacityPerMille(const move_state& move,
-                                 const moment& now) const;
-  std::size_t Rank() const;
+  std::int64_t Rank() const;
 
   member_id self_;
   incarnation_id incarnation_;
@@ -303,6 +346,9 @@
   std::map<pool_id, move_id> newest_;
   std::map<pool_id, version_shares> published_;
   std::map<pool_id, std::map<version_id, std::uint32_t>> capacity_;
+  // Tallies as the peers have last been told.
+  std::map<evidence_key, attempt_tally> sent_;
+  time_point last_sent_;
 };
 
 // Feeds the machine with the request path's counts, so that a duty can run it:
--- /dev/null
+++ b/packages/rollout/src/rollout_decisions.cc
@@ -0,0 +1,300 @@
+#include <algorithm>
+
+#include "comparison.h"
+#include "dotterellead/rollout.h"
+#include "schedule.h"
+
+namespace dotterellead {
+namespace {
+
+// The short window finds a new fault before old successes hide it; the long
+// ones find faults that show rarely.
+constexpr milliseconds kWindows[] = {milliseconds(4'000), milliseconds(16'000),
+                                     milliseconds(64'000)};
+constexpr milliseconds kTrafficWindow{60'000};
+constexpr milliseconds kTrafficKnownAfter{20'000};
+// The host with the lowest id proposes first, so that the log carries few
+// duplicates.
+constexpr milliseconds kAdvanceRankDelay{500};
+constexpr milliseconds kRollbackRankDelay{50};
+constexpr std::int64_t kMaxRank = 6;
+constexpr std::uint32_t kAll = 1000;
+// Pools with fewer requests over a move may get a trial; above this, 5% of
+// them suffice as evidence.
+constexpr double kLittleTraffic = 3'000;
+
+milliseconds Since(const unix_millis& start, const unix_millis& end) {
+  return milliseconds(end.value - start.value);
+}
+
+template <class PairTable>
+std::uint64_t NewSuccesses(const PairTable& totals) {
+  std::uint64_t sum = 0;
+  for (const auto& [key, pair] : totals)
+    sum += pair.first.successes();
+  return sum;
+}
+
+template <class PairTable>
+std::uint64_t NewRequests(const PairTable& totals) {
+  std::uint64_t sum = 0;
+  for (const auto& [key, pair] : totals)
+    sum += pair.first.requests;
+  return sum;
+}
+
+template <class PairTable>
+std::uint64_t NewSuccessesOfStep(const PairTable& totals, std::uint32_t step) {
+  std::uint64_t sum = 0;
+  for (const auto& [key, pair] : totals) {
+    if (key.first == step)
+      sum += pair.first.successes();
+  }
+  return sum;
+}
+
+template <class PairTable>
+std::uint64_t NewSuccessesOfRoute(const PairTable& totals, route_id route) {
+  std::uint64_t sum = 0;
+  for (const auto& [key, pair] : totals) {
+    if (key.second == route)
+      sum += pair.first.successes();
+  }
+  return sum;
+}
+
+// The old version's last period, for a step in which it gets no requests.
+template <class PairTable>
+std::map<route_id, attempt_tally> LastOldPeriod(const PairTable& totals,
+                                                std::uint32_t before_step) {
+  std::map<route_id, attempt_tally> last;
+  for (const auto& [key, pair] : totals) {
+    if (key.first < before_step && pair.second.requests > 0)
+      last[key.second] = pair.second;
+  }
+  return last;
+}
+
+}  // namespace
+
+void rollout_machine::Decide(move_state& move,
+                             const moment& now,
+                             effects& out) {
+  if (move.is_rolled_back())
+    return RepeatRollback(move, now, out);
+  if (IsSuperseded(move))
+    return RollBack(move, "replaced by a newer move of the pool", now, out);
+  if (now.wall >= move.spec.deadline) {
+    return RollBack(move,
+                    "deadline passed at " +
+                        std::to_string(move.progress.share_per_mille) +
+                        " per mille",
+                    now, out);
+  }
+  const pair_table totals = Totals(move);
+  bool suspect = false;
+  const std::string fault = FindFault(move, totals, now, suspect);
+  if (!fault.empty())
+    return RollBack(move, fault, now, out);
+  if (!suspect)
+    Advance(move, totals, now, out);
+}
+
+std::string rollout_machine::FindFault(const move_state& move,
+                                       const pair_table& totals,
+                                       const moment& now,
+                                       bool& suspect) {
+  const std::uint32_t step = move.progress.step;
+  const bool is_whole = move.progress.share_per_mille == kAll;
+  const auto last_period = LastOldPeriod(totals, step);
+  const auto judge = [&](const pair_table& table) -> std::string {
+    std::map<route_id, std::vector<version_pair>> routes;
+    for (const auto& [key, pair] : table) {
+      const bool use_last =
+          is_whole && key.first == step && last_period.contains(key.second);
+      routes[key.second].emplace_back(
+          pair.first, use_last ? last_period.at(key.second) : pair.second);
+    }
+    for (const auto& [route, steps] : routes) {
+      const comparison result = Compare(steps);
+      suspect = suspect || result.least_chance < kSuspectChance;
+      if (!result.fault.empty())
+        return "route " + std::to_string(route.value()) + ": " + result.fault;
+    }
+    return {};
+  };
+  for (const milliseconds window : kWindows) {
+    std::string fault = judge(Recent(move, now, window));
+    if (!fault.empty())
+      return fault;
+  }
+  pair_table current = totals;
+  std::erase_if(current,
+                [step](const auto& e) { return e.first.first != step; });
+  return judge(current);
+}
+
+// ---- Rolling back
+// -----------------------------------------------------------------------------
+
+void rollout_machine::RollBack(move_state& move,
+                               const std::string& reason,
+                               const moment& now,
+                               effects& out) {
+  move.rollback_reason = reason;
+  move.next_proposal =
+      now.steady + kRollbackRankDelay * std::min(Rank(), kMaxRank);
+  move.next_rollback_message = now.steady;
+  RepeatRollback(move, now, out);
+}
+
+void rollout_machine::RepeatRollback(move_state& move,
+                                     const moment& now,
+                                     effects& out) {
+  if (now.steady >= move.next_rollback_message) {
+    move.next_rollback_message = now.steady + settings_.repeat_interval;
+    out.push_back(
+        rolled_back_to_peers{{move.id, move.revision, move.rollback_reason}});
+  }
+  Propose(move, 0, move_verdict::kRolledBack, move.rollback_reason, now, out);
+}
+
+// ---- Advancing
+// --------------------------------------------------------------------------------
+
+rollout_machine::traffic rollout_machine::ExpectedTraffic(
+    const move_state& move,
+    const moment& now) {
+  traffic expected;
+  const milliseconds age =
+      std::chrono::duration_cast<milliseconds>(now.steady - move.first_seen);
+  const milliseconds whole = Since(move.started, move.spec.deadline);
+  expected.is_known = age >= std::min(kTrafficKnownAfter, whole / 10);
+  if (!expected.is_known || age.count() <= 0)
+    return expected;
+  const double scale =
+      static_cast<double>(whole.count()) /
+      static_cast<double>(std::min(age, kTrafficWindow).count());
+  for (const auto& [key, pair] : Recent(move, now, kTrafficWindow)) {
+    const std::uint64_t seen = pair.first.requests + pair.second.requests;
+    expected.routes[key.second] += static_cast<double>(seen) * scale;
+    expected.pool += static_cast<double>(seen) * scale;
+  }
+  return expected;
+}
+
+void rollout_machine::Advance(move_state& move,
+                              const pair_table& totals,
+                              const moment& now,
+                              effects& out) {
+  const move_progress& progress = move.progress;
+  if (progress.share_per_mille == 0) {
+    Propose(move, kShareLevels.front(), move_verdict::kMoving, "started", now,
+            out);
+    return;
+  }
+  const traffic expected = ExpectedTraffic(move, now);
+  if (!expected.is_known || AdjustTrial(move, totals, expected, now, out))
+    return;
+  const std::size_t level = LevelOf(progress);
+  const milliseconds rank_delay =
+      kAdvanceRankDelay * std::min(Rank(), kMaxRank);
+  const milliseconds at = Since(move.started, now.wall) - rank_delay;
+  const auto stayed =
+      std::chrono::duration_cast<milliseconds>(now.steady - move.step_entered) -
+      rank_delay;
+  const step_times times{Since(move.started, move.spec.deadline), at - stayed,
+                         at};
+  if (!IsTimeToLeave(level, times, settings_))
+    return;
+  if (level >= kUnearnedLevel && !HasEarned(move, totals, expected))
+    return;
+  if (level + 1 == kShareLevels.size()) {
+    Propose(move, kAll, move_verdict::kDone, "earned", now, out);
+    return;
+  }
+  const std::uint32_t next = kShareLevels[level + 1];
+  if (CapacityPerMille(move, now) >= next)
+    Propose(move, next, move_verdict::kMoving, "earned", now, out);
+}
+
+bool rollout_machine::HasEarned(const move_state& move,
+                                const pair_table& totals,
+                                const traffic& expected) {
+  const std::uint64_t needed =
+      std::max<std::uint64_t>(1, NeededSuccesses(expected.pool));
+  if (NewSuccesses(totals) < needed)
+    return false;
+  // Later steps need evidence of their own, for faults that show under load.
+  const std::uint32_t step = move.progress.step;
+  const bool is_later = LevelOf(move.progress) > kUnearnedLevel;
+  if (is_later && NewSuccessesOfStep(totals, step) < (needed + 1) / 2)
+    return false;
+  return std::all_of(expected.routes.begin(), expected.routes.end(),
+                     [&](const auto& route) {
+                       return NewSuccessesOfRoute(totals, route.first) >=
+                              NeededSuccesses(route.second);
+                     });
+}
+
+bool rollout_machine::NeedsTrial(const move_state& move,
+                                 const pair_table& totals,
+                                 const traffic& expected,
+                                 const moment& now) {
+  if (expected.pool >= kLittleTraffic)
+    return false;
+  const milliseconds whole = Since(move.started, move.spec.deadline);
+  const milliseconds left =
+      PlannedToEarn(whole) - Since(move.started, now.wall);
+  const double part =
+      static_cast<double>(std::max(left, milliseconds(0)).count()) /
+      static_cast<double>(whole.count());
+  const double coming =
+      expected.pool * part * kShareLevels[kUnearnedLevel] / kAll;
+  const auto needed = static_cast<double>(
+      std::max<std::uint64_t>(1, NeededSuccesses(expected.pool)));
+  const double missing = needed - static_cast<double>(NewSuccesses(totals));
+  const auto used = static_cast<double>(NewRequests(totals));
+  return coming < missing && used + missing <= UnearnedBudget(expected.pool);
+}
+
+bool rollout_machine::AdjustTrial(move_state& move,
+                                  const pair_table& totals,
+                                  const traffic& expected,
+                                  const moment& now,
+                                  effects& out) {
+  if (LevelOf(move.progress) > kUnearnedLevel)
+    return false;
+  const bool has_earned = HasEarned(move, totals, expected);
+  const std::uint32_t base = kShareLevels[kUnearnedLevel];
+  if (IsTrial(move.progress)) {
+    const auto used = static_cast<double>(NewRequests(totals));
+    if (has_earned)
+      Propose(move, base, move_verdict::kMoving, "passed a trial", now, out);
+    else if (used >= UnearnedBudget(expected.pool))
+      Propose(move, base, move_verdict::kMoving, "used up a trial", now, out);
+    return true;
+  }
+  if (has_earned || !NeedsTrial(move, totals, expected, now))
+    return false;
+  Propose(move, kTrialShare, move_verdict::kMoving,
+          std::string(kTrialReason) + ": too little traffic for 5%", now, out);
+  return true;
+}
+
+void rollout_machine::Propose(move_state& move,
+                              std::uint32_t share,
+                              move_verdict verdict,
+                              const std::string& reason,
+                              const moment& now,
+                              effects& out) {
+  if (!log_up_ || now.steady < move.next_proposal)
+    return;
+  move.next_proposal = now.steady + settings_.repeat_interval;
+  out.push_back(propose_step{move.id,
+                             move.revision,
+                             move.progress.step,
+                             {share, move.progress.step + 1, verdict, reason}});
+}
+
+}  // namespace dotterellead
--- /dev/null
+++ b/packages/rollout/src/schedule.h
@@ -0,0 +1,50 @@
+// When a move may leave a step, and how much evidence it needs.
+#ifndef DOTTERELLEAD_ROLLOUT_SCHEDULE_H_
+#define DOTTERELLEAD_ROLLOUT_SCHEDULE_H_
+
+#include <array>
+#include <cstdint>
+
+#include "dotterellead/rollout.h"
+
+namespace dotterellead {
+
+inline constexpr std::array<std::uint32_t, 5> kShareLevels = {10, 50, 250, 500,
+                                                              1000};
+// The highest level that a version gets without having earned it.
+inline constexpr std::size_t kUnearnedLevel = 1;
+inline constexpr std::uint32_t kTrialShare = 250;
+// Starts the reason of a step with a larger share of little traffic.
+inline constexpr std::string_view kTrialReason = "trial";
+
+// The level of a step that has been recorded (share above 0).
+std::size_t LevelOf(const move_progress& progress);
+bool IsTrial(const move_progress& progress);
+
+struct step_times {
+  // From the start of the move to its deadline.
+  milliseconds whole;
+  // From the start to the entry of the current step, and to now.
+  milliseconds entered;
+  milliseconds now;
+};
+
+// Whether the time planned for the level has passed. The plan spreads the
+// levels over the move; a late move shortens its later levels in proportion.
+bool IsTimeToLeave(std::size_t level,
+                   const step_times& times,
+                   const rollout_settings& settings);
+
+// Time from the start until a version should have earned more than 5%.
+milliseconds PlannedToEarn(milliseconds whole);
+
+// Successful requests that a route or a pool with this many requests over the
+// whole move must show: half of what 5% of them can show, at most 30.
+std::uint64_t NeededSuccesses(double requests_over_move);
+
+// Requests that an unearned version may get over the whole move.
+double UnearnedBudget(double requests_over_move);
+
+}  // namespace dotterellead
+
+#endif  // DOTTERELLEAD_ROLLOUT_SCHEDULE_H_
