Simulate moves of good and bad versions under one clock

Guards the bounds of a move: 23 outcomes with 1 and 13 hosts, with a log that goes down, loses replies and gets records twice, lost peer messages, partitions and a killed host. Chances are summed exactly up to a variance of 400; the normal approximation understated them at small shares.

--- a/packages/rollout/include/dotterellead/rollout.h
+++ b/packages/rollout/include/dotterellead/rollout.h
@@ -304,6 +304,8 @@
                                const pair_table& totals,
                                const moment& now,
                                bool& suspect);
+  // Raises 1% to 5% while a fault is suspected.
+  void GatherMore(move_state& move, const moment& now, effects& out);
   void RollBack(move_state& move,
                 const std::string& reason,
                 const moment& now,
--- a/packages/rollout/src/comparison.cc
+++ b/packages/rollout/src/comparison.cc
@@ -15,8 +15,11 @@
 constexpr double kTotalFaultChance = 1e-4;
 constexpr std::uint64_t kFewestHits = 3;
 constexpr std::uint64_t kFewestTotalHits = 2;
-// Above this many possible outcomes the normal approximation is used.
-constexpr std::uint64_t kMostExactOutcomes = 200;
+// The normal approximation understates chances far from the mean unless the
+// variance is large; below this variance the exact sum is used.
+constexpr double kMostExactVariance = 400;
+// Far below kFaultChance, even if added up over a thousand outcomes.
+constexpr double kNegligible = 1e-15;
 // The quantile of the old version is not known from fewer answers.
 constexpr std::uint64_t kFewestAnswersForQuantile = 8;
 // Two buckets are a factor of 2; with the width of a bucket, a slowdown by 2.8
@@ -60,57 +63,96 @@
   return {least, std::min(s.new_requests, hits)};
 }
 
-std::vector<double> Distribution(const stratum& s, const hit_range& range) {
+// Chances of consecutive numbers of hits, from `first` on. Outcomes too rare to
+// matter are left out.
+struct distribution {
+  std::uint64_t first = 0;
+  std::vector<double> chances;
+};
+
+// Hypergeometric chances, worked out from the most likely outcome to both
+// sides.
+distribution HitsOfNew(const stratum& s) {
   const std::uint64_t hits = s.new_hits + s.old_hits;
   const std::uint64_t all = s.new_requests + s.old_requests;
-  const double total = LogChoose(all, s.new_requests);
-  std::vector<double> chances;
-  for (std::uint64_t x = range.least; x <= range.most; ++x) {
-    chances.push_back(std::exp(LogChoose(hits, x) +
-                               LogChoose(all - hits, s.new_requests - x) -
-                               total));
+  const hit_range range = PossibleHits(s);
+  const auto ratio_to_next = [&](std::uint64_t x) {
+    return static_cast<double>(hits - x) *
+           static_cast<double>(s.new_requests - x) /
+           (static_cast<double>(x + 1) *
+            static_cast<double>(s.old_requests + x + 1 - hits));
+  };
+  const auto likely = static_cast<std::uint64_t>(
+      static_cast<double>(hits) * static_cast<double>(s.new_requests) /
+      static_cast<double>(all));
+  const std::uint64_t mode = std::clamp(likely, range.least, range.most);
+  const double top = std::exp(LogChoose(hits, mode) +
+                              LogChoose(all - hits, s.new_requests - mode) -
+                              LogChoose(all, s.new_requests));
+  distribution d;
+  double chance = top;
+  d.first = mode;
+  for (; d.first > range.least && chance > kNegligible; --d.first) {
+    d.chances.push_back(chance);
+    chance /= ratio_to_next(d.first - 1);
+  }
+  d.chances.push_back(chance);
+  std::reverse(d.chances.begin(), d.chances.end());
+  chance = top;
+  for (std::uint64_t x = mode; x < range.most && chance > kNegligible; ++x) {
+    chance *= ratio_to_next(x);
+    d.chances.push_back(chance);
   }
-  return chances;
+  return d;
 }
 
-std::vector<double> Convolve(const std::vector<double>& a,
-                             const std::vector<double>& b) {
-  std::vector<double> sum(a.size() + b.size() - 1);
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    for (std::size_t j = 0; j < b.size(); ++j)
-      sum[i + j] += a[i] * b[j];
+distribution SumOf(const distribution& a, const distribution& b) {
+  distribution sum{a.first + b.first, {}};
+  sum.chances.resize(a.chances.size() + b.chances.size() - 1);
+  for (std::size_t i = 0; i < a.chances.size(); ++i) {
+    for (std::size_t j = 0; j < b.chances.size(); ++j)
+      sum.chances[i + j] += a.chances[i] * b.chances[j];
   }
   return sum;
 }
 
 double ExactChance(const std::vector<stratum>& strata) {
-  std::vector<double> chances{1};
-  std::uint64_t index = 0;
+  distribution all{0, {1}};
+  std::uint64_t seen = 0;
   for (const stratum& s : strata) {
-    const hit_range range = PossibleHits(s);
-    chances = Convolve(chances, Distribution(s, range));
-    index += s.new_hits - range.least;
+    all = SumOf(all, HitsOfNew(s));
+    seen += s.new_hits;
   }
   double tail = 0;
-  for (std::size_t i = chances.size(); i > index; --i)
-    tail += chances[i - 1];
+  for (std::size_t i = 0; i < all.chances.size(); ++i) {
+    if (all.first + i >= seen)
+      tail += all.chances[i];
+  }
   return std::min(tail, 1.0);
 }
 
-double NormalChance(const std::vector<stratum>& strata) {
-  double excess = -0.5;
+// Variance of the new version's hits over all strata.
+double Variance(const std::vector<stratum>& strata) {
   double variance = 0;
   for (const stratum& s : strata) {
     const auto n = static_cast<double>(s.new_requests);
     const auto all = n + static_cast<double>(s.old_requests);
     const auto hits = static_cast<double>(s.new_hits + s.old_hits);
-    excess += static_cast<double>(s.new_hits) - n * hits / all;
     if (all > 1) {
       variance += n * hits * (all - n) * (all - hits) / (all * all * (all - 1));
     }
   }
-  if (variance <= 0)
-    return 1;
+  return variance;
+}
+
+double NormalChance(const std::vector<stratum>& strata, double variance) {
+  double excess = -0.5;
+  for (const stratum& s : strata) {
+    const auto n = static_cast<double>(s.new_requests);
+    const auto all = n + static_cast<double>(s.old_requests);
+    const auto hits = static_cast<double>(s.new_hits + s.old_hits);
+    excess += static_cast<double>(s.new_hits) - n * hits / all;
+  }
   return 0.5 * std::erfc(excess / std::sqrt(2 * variance));
 }
 
@@ -210,18 +252,19 @@
 }  // namespace
 
 double ChanceIfEqual(const std::vector<stratum>& strata) {
-  std::uint64_t outcomes = 0;
-  for (const stratum& s : strata) {
-    const hit_range range = PossibleHits(s);
-    outcomes += range.most - range.least;
-  }
-  return outcomes > kMostExactOutcomes ? NormalChance(strata)
+  const double variance = Variance(strata);
+  return variance > kMostExactVariance ? NormalChance(strata, variance)
                                        : ExactChance(strata);
 }
 
-comparison Compare(const std::vector<version_pair>& steps) {
+comparison CompareFailures(const std::vector<version_pair>& strata) {
   comparison result;
-  Test(FailureStrata(steps), kFailureMargin, "failures", result);
+  Test(FailureStrata(strata), kFailureMargin, "failures", result);
+  return result;
+}
+
+comparison Compare(const std::vector<version_pair>& steps) {
+  comparison result = CompareFailures(steps);
   for (const latency_rule& rule : kLatencyRules) {
     const std::optional<std::size_t> bucket =
         QuantileBucket(steps, rule.quantile);
--- a/packages/rollout/src/comparison.h
+++ b/packages/rollout/src/comparison.h
@@ -37,6 +37,9 @@
 
 inline constexpr double kSuspectChance = 0.01;
 
+// Compares failures only; routes may be mixed, each in strata of its own.
+comparison CompareFailures(const std::vector<version_pair>& strata);
+
 // Compares failures and the latency quantiles 50% and 90%.
 comparison Compare(const std::vector<version_pair>& steps);
 
--- a/packages/rollout/src/rollout_decisions.cc
+++ b/packages/rollout/src/rollout_decisions.cc
@@ -96,7 +96,9 @@
   const std::string fault = FindFault(move, totals, now, suspect);
   if (!fault.empty())
     return RollBack(move, fault, now, out);
-  if (!suspect)
+  if (suspect)
+    GatherMore(move, now, out);
+  else
     Advance(move, totals, now, out);
 }
 
@@ -115,13 +117,17 @@
       routes[key.second].emplace_back(
           pair.first, use_last ? last_period.at(key.second) : pair.second);
     }
+    std::vector<version_pair> all;
     for (const auto& [route, steps] : routes) {
       const comparison result = Compare(steps);
       suspect = suspect || result.least_chance < kSuspectChance;
       if (!result.fault.empty())
         return "route " + std::to_string(route.value()) + ": " + result.fault;
+      all.insert(all.end(), steps.begin(), steps.end());
     }
-    return {};
+    // With little traffic only all routes together tell the versions apart.
+    const comparison result = CompareFailures(all);
+    return result.fault.empty() ? "" : "all routes: " + result.fault;
   };
   for (const milliseconds window : kWindows) {
     std::string fault = judge(Recent(move, now, window));
@@ -134,6 +140,19 @@
   return judge(current);
 }
 
+// A verdict takes the same number of failures at 1% as at 5%, but at 5% it
+// comes five times sooner.
+void rollout_machine::GatherMore(move_state& move,
+                                 const moment& now,
+                                 effects& out) {
+  const std::uint32_t most = kShareLevels[kUnearnedLevel];
+  const std::uint32_t share = move.progress.share_per_mille;
+  if (share > 0 && share < most && CapacityPerMille(move, now) >= most) {
+    Propose(move, most, move_verdict::kMoving,
+            "suspected fault, more evidence needed", now, out);
+  }
+}
+
 // ---- Rolling back
 // -----------------------------------------------------------------------------
 
@@ -241,7 +260,7 @@
                                  const pair_table& totals,
                                  const traffic& expected,
                                  const moment& now) {
-  if (expected.pool >= kLittleTraffic)
+  if (expected.pool <= 0 || expected.pool >= kLittleTraffic)
     return false;
   const milliseconds whole = Since(move.started, move.spec.deadline);
   const milliseconds left =
@@ -271,6 +290,9 @@
     const auto used = static_cast<double>(NewRequests(totals));
     if (has_earned)
       Propose(move, base, move_verdict::kMoving, "passed a trial", now, out);
+    else if (expected.pool >= kLittleTraffic)
+      Propose(move, base, move_verdict::kMoving, "enough traffic for 5%", now,
+              out);
     else if (used >= UnearnedBudget(expected.pool))
       Propose(move, base, move_verdict::kMoving, "used up a trial", now, out);
     return true;
--- /dev/null
+++ b/packages/rollout/tests/simulation_test.cc
@@ -0,0 +1,350 @@
+#include "simulation.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+
+namespace dotterellead {
+namespace {
+
+const pool_id kPool("pool");
+const move_id kMove("move");
+const version_id kOld("v1");
+const version_id kNew("v2");
+constexpr std::int64_t kWallStart = 1'700'000'000'000;
+constexpr std::int64_t kStepMs = 10;
+constexpr std::int64_t kTickMs = 250;
+// Simulated after the verdict, to see late requests to the new version.
+constexpr double kTail = 8;
+
+}  // namespace
+
+simulation::simulation(const scenario& s, std::size_t hosts, std::uint64_t seed)
+    : scenario_(s), random_(seed), hosts_(hosts) {
+  stored_move& move = view_.moves[kMove];
+  move.revision = log_offset(7);
+  move.spec = {
+      kPool, kOld, kNew,
+      unix_millis{kWallStart + static_cast<std::int64_t>(s.deadline * 1000)}};
+  for (std::size_t i = 0; i < hosts_.size(); ++i)
+    Start(i);
+}
+
+void simulation::After(std::int64_t ms, std::function<void()> run) {
+  events_.push({now_ms_ + ms, order_++, std::move(run)});
+}
+
+void simulation::Start(std::size_t i) {
+  host& h = hosts_[i];
+  h.counters = std::make_unique<version_counters>();
+  h.machine = std::make_unique<counted_rollout>(
+      rollout_machine(member_id(fmt::format("host{:02}", i)),
+                      incarnation_id(static_cast<std::uint64_t>(now_ms_))),
+      *h.counters);
+  h.shares = {{kOld, 1000}};
+  Deliver(i, rollout_config_changed{std::make_shared<config_view>(view_)});
+  Deliver(i, rollout_log_changed{!log_was_down_});
+  TellPeers();
+}
+
+void simulation::Deliver(std::size_t i, const rollout_machine::message& m) {
+  if (!hosts_[i].machine)
+    return;
+  std::vector<rollout_machine::effect> effects;
+  const moment now{time_point(milliseconds(1'000'000 + now_ms_)),
+                   unix_millis{kWallStart + now_ms_}};
+  hosts_[i].machine->Step(m, now, effects);
+  for (const auto& e : effects)
+    Carry(i, e);
+}
+
+void simulation::Carry(std::size_t from, const rollout_machine::effect& e) {
+  if (const auto* shares = std::get_if<share_changed>(&e))
+    hosts_[from].shares = shares->shares;
+  if (const auto* evidence = std::get_if<evidence_to_peers>(&e)) {
+    const std::string text = EncodePeerEvidence(evidence->evidence);
+    SendToPeers(from, DecodePeerEvidence(text));
+  }
+  if (const auto* back = std::get_if<rolled_back_to_peers>(&e))
+    SendToPeers(from, back->rollback);
+  if (const auto* proposal = std::get_if<propose_step>(&e)) {
+    // Some appends arrive twice.
+    const int copies = random_() % 20 == 0 ? 2 : 1;
+    for (int i = 0; i < copies; ++i)
+      After(15 + i, [this, from, p = *proposal] { Append(from, p); });
+  }
+}
+
+void simulation::SendToPeers(std::size_t from,
+                             const rollout_machine::message& m) {
+  const bool cut = scenario_.partition.Contains(Seconds());
+  for (std::size_t to = 0; to < hosts_.size(); ++to) {
+    const bool same_side = (from % 2) == (to % 2);
+    if (to == from || (cut && !same_side))
+      continue;
+    // One message in 50 is lost.
+    if (random_() % 50 != 0)
+      After(1 + static_cast<std::int64_t>(random_() % 5),
+            [this, to, m] { Deliver(to, m); });
+  }
+}
+
+// The rule of the configuration's replay for move_step records.
+void simulation::Append(std::size_t from, const propose_step& p) {
+  stored_move& move = view_.moves[kMove];
+  step_result result{p.move, p.revision, p.from_step, step_outcome::kAccepted};
+  const bool matches = move.revision == p.revision &&
+                       move.progress.verdict == move_verdict::kMoving &&
+                       move.progress.step == p.from_step;
+  if (scenario_.log_down.Contains(Seconds())) {
+    result.outcome = step_outcome::kUnavailable;
+  } else if (!matches) {
+    result.outcome = step_outcome::kConflict;
+  } else {
+    move.progress = p.progress;
+    result_.trace.push_back(
+        fmt::format("{:.1f} s: step {} share {} {} ({})", Seconds(),
+                    p.progress.step, p.progress.share_per_mille,
+                    to_string(p.progress.verdict), p.progress.reason));
+    PublishConfig();
+  }
+  // Some replies are lost.
+  if (random_() % 20 != 0)
+    After(5, [this, from, result] { Deliver(from, result); });
+}
+
+void simulation::PublishConfig() {
+  const stored_move& move = view_.moves[kMove];
+  if (move.progress.verdict != move_verdict::kMoving) {
+    result_.verdict = move.progress.verdict;
+    result_.reason = move.progress.reason;
+    result_.verdict_at = Seconds();
+  }
+  const auto snapshot = std::make_shared<config_view>(view_);
+  for (std::size_t i = 0; i < hosts_.size(); ++i)
+    After(10, [this, i, snapshot] {
+      Deliver(i, rollout_config_changed{snapshot});
+    });
+}
+
+void simulation::TellPeers() {
+  rollout_peers_changed peers;
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    if (hosts_[i].machine)
+      peers.live.emplace_back(fmt::format("host{:02}", i));
+  }
+  for (std::size_t i = 0; i < hosts_.size(); ++i)
+    Deliver(i, peers);
+}
+
+void simulation::TellLogState() {
+  const bool down = scenario_.log_down.Contains(Seconds());
+  if (down == log_was_down_)
+    return;
+  log_was_down_ = down;
+  for (std::size_t i = 0; i < hosts_.size(); ++i)
+    After(500, [this, i, down] { Deliver(i, rollout_log_changed{!down}); });
+}
+
+void simulation::MakeRequests() {
+  owed_requests_ += scenario_.rate * static_cast<double>(kStepMs) / 1000;
+  for (; owed_requests_ >= 1; owed_requests_ -= 1) {
+    const std::size_t i = random_() % hosts_.size();
+    if (hosts_[i].machine)
+      MakeRequest(hosts_[i], i);
+  }
+}
+
+void simulation::MakeRequest(host& h, std::size_t index) {
+  const request_id id((static_cast<std::uint64_t>(index) << 40) + h.requests++);
+  const std::uint64_t dice = random_() % 100;
+  sim_request r;
+  r.time = Seconds();
+  r.is_new = ChooseVersion(h.shares, id) == kNew;
+  r.route = dice < 3 ? 2 : dice < 30 ? 1 : 0;
+  r.share_per_mille = view_.moves[kMove].progress.share_per_mille;
+  r.in_failed_zone = random_() % 3 == 0;
+  sim_outcome outcome = scenario_.behave(r);
+  // Both versions fail now and then.
+  outcome.failed = outcome.failed || random_() % 1000 == 0;
+  const double spread = static_cast<double>(random_() % 10'000);
+  const microseconds latency(
+      static_cast<std::int64_t>((10'000 + spread) * outcome.latency_factor));
+  h.counters->Record(kPool, route_id(r.route), r.is_new ? kNew : kOld,
+                     outcome.failed, latency);
+  if (result_.verdict == move_verdict::kMoving)
+    ++result_.requests;
+  if (!r.is_new)
+    return;
+  ++result_.new_requests;
+  result_.last_new = r.time;
+  result_.failed_new_requests += outcome.failed ? 1 : 0;
+  if (outcome.is_fault && result_.first_fault < 0)
+    result_.first_fault = r.time;
+}
+
+bool simulation::IsOver() const {
+  const double end =
+      result_.verdict_at >= 0 ? result_.verdict_at : scenario_.deadline + kTail;
+  return Seconds() > end + kTail;
+}
+
+sim_result simulation::Run() {
+  while (!IsOver()) {
+    while (!events_.empty() && events_.top().at <= now_ms_) {
+      const auto run = events_.top().run;
+      events_.pop();
+      run();
+    }
+    TellLogState();
+    const auto kill_ms = static_cast<std::int64_t>(scenario_.kill_at * 1000);
+    if (scenario_.kill_at >= 0 && now_ms_ == kill_ms) {
+      hosts_[0].machine.reset();
+      After(3'000, [this] { Start(0); });
+      TellPeers();
+    }
+    MakeRequests();
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      const auto offset = static_cast<std::int64_t>(i) * kStepMs;
+      if ((now_ms_ + offset) % kTickMs == 0)
+        Deliver(i, tick{});
+    }
+    now_ms_ += kStepMs;
+  }
+  return result_;
+}
+
+namespace {
+
+sim_outcome Good(const sim_request&) {
+  return {};
+}
+sim_outcome ZoneOutage(const sim_request& r) {
+  return {.failed = r.in_failed_zone && r.time > 100 && r.time < 300};
+}
+sim_outcome NoisyNeighbour(const sim_request& r) {
+  return {.latency_factor = r.time > 90 && r.time < 350 ? 4.0 : 1.0};
+}
+sim_outcome FailIf(bool fault) {
+  return {.failed = fault, .is_fault = fault};
+}
+sim_outcome BadAtOnce(const sim_request& r) {
+  return FailIf(r.is_new);
+}
+sim_outcome BadAfter60(const sim_request& r) {
+  return FailIf(r.is_new && r.time > 60);
+}
+sim_outcome BadUnderLoad(const sim_request& r) {
+  return FailIf(r.is_new && r.share_per_mille >= 250 && r.route == 0);
+}
+sim_outcome BadAtWhole(const sim_request& r) {
+  return FailIf(r.is_new && r.share_per_mille == 1000 && r.time > 450);
+}
+sim_outcome BadRoute(const sim_request& r) {
+  return FailIf(r.is_new && r.route == 2);
+}
+sim_outcome Slow(const sim_request& r) {
+  return {.latency_factor = r.is_new ? 3.0 : 1.0, .is_fault = r.is_new};
+}
+// Fails for 3 s in every 20 s.
+sim_outcome Flapping(const sim_request& r) {
+  const auto second = static_cast<std::int64_t>(r.time);
+  return FailIf(r.is_new && second % 20 >= 17);
+}
+
+const scenario kScenarios[] = {
+    {"good", false, Good},
+    {"good, 1 request per 2 s", false, Good, 0.5},
+    {"good, zone outage hits both", false, ZoneOutage},
+    {"good, noisy neighbour slows both", false, NoisyNeighbour},
+    {"good, log down before start", false, Good, 1000, {0, 60}},
+    {"good, log down 200-300 s", false, Good, 1000, {200, 300}},
+    {"good, log down 480-560 s", false, Good, 1000, {480, 560}},
+    {"good, host killed", false, Good, 1000, {}, {}, 200},
+    {"good, peers partitioned", false, Good, 1000, {}, {100, 300}},
+    {"good, no request", false, Good, 0},
+    {"bad at once", true, BadAtOnce},
+    {"bad at once, 1 request per 2 s", true, BadAtOnce, 0.5},
+    {"bad after 60 s", true, BadAfter60},
+    {"bad under load", true, BadUnderLoad, 1000, {}, {}, -1, true},
+    {"bad at 100% only", true, BadAtWhole, 1000, {}, {}, -1, true},
+    {"bad on a 3% route", true, BadRoute},
+    {"slow x3", true, Slow},
+    {"flapping", true, Flapping},
+    {"bad at once, log down after 1 s", true, BadAtOnce, 1000, {1, 100}},
+    {"bad after 60 s, log down", true, BadAfter60, 1000, {30, 200}},
+    {"bad after 60 s, host killed", true, BadAfter60, 1000, {}, {}, 61},
+    {"bad after 60 s, peers partitioned", true, BadAfter60, 1000, {}, {50, 99}},
+    {"bad after 60 s, log down and partitioned",
+     true,
+     BadAfter60,
+     1000,
+     {50, 200},
+     {50, 200}},
+};
+
+std::string Row(const scenario& s,
+                std::size_t hosts,
+                std::uint64_t seed,
+                const sim_result& r) {
+  const double share = 100.0 * static_cast<double>(r.new_requests) /
+                       static_cast<double>(r.requests);
+  const double shown = r.first_fault < 0 ? 0 : r.last_new - r.first_fault;
+  return fmt::format(
+      "{:<42} {:>2} hosts seed {:>2}: {:<11} at {:6.1f} s, new {:6.2f}%, last "
+      "new request {:5.2f} s after the fault ({})",
+      s.name, hosts, seed, to_string(r.verdict), r.verdict_at, share, shown,
+      r.reason);
+}
+
+void CheckBounds(const scenario& s, const sim_result& r) {
+  if (s.rate == 0) {
+    // Never done without a successful request.
+    CHECK(r.verdict == move_verdict::kRolledBack);
+    CHECK(r.verdict_at < s.deadline + 1);
+    return;
+  }
+  if (s.is_bad && s.rate < 1) {
+    // In 5 s there are 2 requests to both versions together, so the bound is a
+    // handful, and 5% of the requests up to the deadline.
+    CHECK(r.verdict == move_verdict::kRolledBack);
+    CHECK(r.new_requests <= 6);
+    CHECK(static_cast<double>(r.new_requests) <= 0.05 * s.rate * s.deadline);
+    return;
+  }
+  if (!s.is_bad) {
+    CHECK(r.verdict == move_verdict::kDone);
+    CHECK(r.verdict_at < s.deadline);
+    return;
+  }
+  CHECK(r.verdict == move_verdict::kRolledBack);
+  CHECK(r.last_new - r.first_fault <= 5.0);
+  if (!s.only_above_5)
+    CHECK(r.new_requests * 20 <= r.requests);
+}
+
+std::uint64_t SeedCount() {
+  const char* text = std::getenv("ROLLOUT_SEEDS");
+  return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
+// Guards the main guarantee: bad versions get a small share and none soon
+// after the fault shows, good ones finish in time.
+TEST_CASE("moves end with the right verdict within the bounds") {
+  for (const scenario& s : kScenarios) {
+    for (const std::size_t hosts : {1, 13}) {
+      for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+        const sim_result r = simulation(s, hosts, seed).Run();
+        const std::string row = Row(s, hosts, seed, r);
+        fmt::print("{}\n", row);
+        CAPTURE(row);
+        CAPTURE(fmt::format("{}", fmt::join(r.trace, "\n")));
+        CheckBounds(s, r);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace dotterellead
