--- a/packages/rollout/include/dotterellead/rollout.h
+++ b/packages/rollout/include/dotterellead/rollout.h
@@ -226,13 +226,14 @@
  private:
   using source = std::pair<member_id, incarnation_id>;
 
+  // New and old version, by step and route.
+  using pair_table = std::map<std::pair<std::uint32_t, route_id>,
+                              std::pair<attempt_tally, attempt_tally>>;
+
   // New evidence that arrived within one second.
   struct evidence_slice {
     time_point begin;
-    // By step and route: new version, old version.
-    std::map<std::pair<std::uint32_t, route_id>,
-             std::pair<attempt_tally, attempt_tally>>
-        tallies;
+    pair_table tallies;
   };
 
   struct move_state {
@@ -251,6 +252,8 @@
     time_point next_proposal;
     time_point next_rollback_message;
     std::map<source, std::map<evidence_key, attempt_tally>> evidence;
+    // Sum of the evidence over all sources.
+    pair_table totals;
     std::deque<evidence_slice> slices;
     bool is_rolled_back() const { return !rollback_reason.empty(); }
   };
@@ -282,18 +285,11 @@
   std::uint32_t CapacityPerMille(const move_state& move,
                                  const moment& now) const;
 
-  // New and old version, by step and route.
-  using pair_table = std::map<std::pair<std::uint32_t, route_id>,
-                              std::pair<attempt_tally, attempt_tally>>;
   struct traffic {
     bool is_known = false;
     double pool = 0;
     std::map<route_id, double> routes;
   };
-  static pair_table Totals(const move_state& move);
-  static pair_table Recent(const move_state& move,
-                           const moment& now,
-                           milliseconds window);
   // Requests over the whole move at the current rate.
   static traffic ExpectedTraffic(const move_state& move, const moment& now);
 
@@ -301,7 +297,6 @@
   // Compares the versions over several windows; sets `suspect` if the new one
   // may be worse. Returns the fault, empty if none.
   static std::string FindFault(const move_state& move,
-                               const pair_table& totals,
                                const moment& now,
                                bool& suspect);
   // Raises 1% to 5% while a fault is suspected.
@@ -311,22 +306,15 @@
                 const moment& now,
                 effects& out);
   void RepeatRollback(move_state& move, const moment& now, effects& out);
-  void Advance(move_state& move,
-               const pair_table& totals,
-               const moment& now,
-               effects& out);
+  void Advance(move_state& move, const moment& now, effects& out);
   // Whether the evidence allows more than the current share.
-  static bool HasEarned(const move_state& move,
-                        const pair_table& totals,
-                        const traffic& expected);
+  static bool HasEarned(const move_state& move, const traffic& expected);
   // Whether a larger share of little traffic is needed and allowed.
   static bool NeedsTrial(const move_state& move,
-                         const pair_table& totals,
                          const traffic& expected,
                          const moment& now);
   // True if a step for a trial with little traffic, or its end, is due.
   bool AdjustTrial(move_state& move,
-                   const pair_table& totals,
                    const traffic& expected,
                    const moment& now,
                    effects& out);
--- a/packages/rollout/src/rollout_decisions.cc
+++ b/packages/rollout/src/rollout_decisions.cc
@@ -63,6 +63,15 @@
   return sum;
 }
 
+template <class PairTable>
+void AddAll(PairTable& sum, const PairTable& table) {
+  for (const auto& [key, pair] : table) {
+    auto& into = sum[key];
+    into.first.Add(pair.first);
+    into.second.Add(pair.second);
+  }
+}
+
 // The old version's last period, for a step in which it gets no requests.
 template <class PairTable>
 std::map<route_id, attempt_tally> LastOldPeriod(const PairTable& totals,
@@ -91,24 +100,22 @@
                         " per mille",
                     now, out);
   }
-  const pair_table totals = Totals(move);
   bool suspect = false;
-  const std::string fault = FindFault(move, totals, now, suspect);
+  const std::string fault = FindFault(move, now, suspect);
   if (!fault.empty())
     return RollBack(move, fault, now, out);
   if (suspect)
     GatherMore(move, now, out);
   else
-    Advance(move, totals, now, out);
+    Advance(move, now, out);
 }
 
 std::string rollout_machine::FindFault(const move_state& move,
-                                       const pair_table& totals,
                                        const moment& now,
                                        bool& suspect) {
   const std::uint32_t step = move.progress.step;
   const bool is_whole = move.progress.share_per_mille == kAll;
-  const auto last_period = LastOldPeriod(totals, step);
+  const auto last_period = LastOldPeriod(move.totals, step);
   const auto judge = [&](const pair_table& table) -> std::string {
     std::map<route_id, std::vector<version_pair>> routes;
     for (const auto& [key, pair] : table) {
@@ -129,12 +136,18 @@
     const comparison result = CompareFailures(all);
     return result.fault.empty() ? "" : "all routes: " + result.fault;
   };
+  pair_table recent;
+  auto slice = move.slices.rbegin();
   for (const milliseconds window : kWindows) {
-    std::string fault = judge(Recent(move, now, window));
+    for (; slice != move.slices.rend() && slice->begin + window >= now.steady;
+         ++slice) {
+      AddAll(recent, slice->tallies);
+    }
+    std::string fault = judge(recent);
     if (!fault.empty())
       return fault;
   }
-  pair_table current = totals;
+  pair_table current = move.totals;
   std::erase_if(current,
                 [step](const auto& e) { return e.first.first != step; });
   return judge(current);
@@ -194,16 +207,19 @@
   const double scale =
       static_cast<double>(whole.count()) /
       static_cast<double>(std::min(age, kTrafficWindow).count());
-  for (const auto& [key, pair] : Recent(move, now, kTrafficWindow)) {
-    const std::uint64_t seen = pair.first.requests + pair.second.requests;
-    expected.routes[key.second] += static_cast<double>(seen) * scale;
-    expected.pool += static_cast<double>(seen) * scale;
+  for (const evidence_slice& slice : move.slices) {
+    if (slice.begin + kTrafficWindow < now.steady)
+      continue;
+    for (const auto& [key, pair] : slice.tallies) {
+      const std::uint64_t seen = pair.first.requests + pair.second.requests;
+      expected.routes[key.second] += static_cast<double>(seen) * scale;
+      expected.pool += static_cast<double>(seen) * scale;
+    }
   }
   return expected;
 }
 
 void rollout_machine::Advance(move_state& move,
-                              const pair_table& totals,
                               const moment& now,
                               effects& out) {
   const move_progress& progress = move.progress;
@@ -213,7 +229,7 @@
     return;
   }
   const traffic expected = ExpectedTraffic(move, now);
-  if (!expected.is_known || AdjustTrial(move, totals, expected, now, out))
+  if (!expected.is_known || AdjustTrial(move, expected, now, out))
     return;
   const std::size_t level = LevelOf(progress);
   const milliseconds rank_delay =
@@ -226,7 +242,7 @@
                          at};
   if (!IsTimeToLeave(level, times, settings_))
     return;
-  if (level >= kUnearnedLevel && !HasEarned(move, totals, expected))
+  if (level >= kUnearnedLevel && !HasEarned(move, expected))
     return;
   if (level + 1 == kShareLevels.size()) {
     Propose(move, kAll, move_verdict::kDone, "earned", now, out);
@@ -238,26 +254,24 @@
 }
 
 bool rollout_machine::HasEarned(const move_state& move,
-                                const pair_table& totals,
                                 const traffic& expected) {
   const std::uint64_t needed =
       std::max<std::uint64_t>(1, NeededSuccesses(expected.pool));
-  if (NewSuccesses(totals) < needed)
+  if (NewSuccesses(move.totals) < needed)
     return false;
   // Later steps need evidence of their own, for faults that show under load.
   const std::uint32_t step = move.progress.step;
   const bool is_later = LevelOf(move.progress) > kUnearnedLevel;
-  if (is_later && NewSuccessesOfStep(totals, step) < (needed + 1) / 2)
+  if (is_later && NewSuccessesOfStep(move.totals, step) < (needed + 1) / 2)
     return false;
   return std::all_of(expected.routes.begin(), expected.routes.end(),
                      [&](const auto& route) {
-                       return NewSuccessesOfRoute(totals, route.first) >=
+                       return NewSuccessesOfRoute(move.totals, route.first) >=
                               NeededSuccesses(route.second);
                      });
 }
 
 bool rollout_machine::NeedsTrial(const move_state& move,
-                                 const pair_table& totals,
                                  const traffic& expected,
                                  const moment& now) {
   if (expected.pool <= 0 || expected.pool >= kLittleTraffic)
@@ -272,22 +286,22 @@
       expected.pool * part * kShareLevels[kUnearnedLevel] / kAll;
   const auto needed = static_cast<double>(
       std::max<std::uint64_t>(1, NeededSuccesses(expected.pool)));
-  const double missing = needed - static_cast<double>(NewSuccesses(totals));
-  const auto used = static_cast<double>(NewRequests(totals));
+  const double missing =
+      needed - static_cast<double>(NewSuccesses(move.totals));
+  const auto used = static_cast<double>(NewRequests(move.totals));
   return coming < missing && used + missing <= UnearnedBudget(expected.pool);
 }
 
 bool rollout_machine::AdjustTrial(move_state& move,
-                                  const pair_table& totals,
                                   const traffic& expected,
                                   const moment& now,
                                   effects& out) {
   if (LevelOf(move.progress) > kUnearnedLevel)
     return false;
-  const bool has_earned = HasEarned(move, totals, expected);
+  const bool has_earned = HasEarned(move, expected);
   const std::uint32_t base = kShareLevels[kUnearnedLevel];
   if (IsTrial(move.progress)) {
-    const auto used = static_cast<double>(NewRequests(totals));
+    const auto used = static_cast<double>(NewRequests(move.totals));
     if (has_earned)
       Propose(move, base, move_verdict::kMoving, "passed a trial", now, out);
     else if (expected.pool >= kLittleTraffic)
@@ -297,7 +311,7 @@
       Propose(move, base, move_verdict::kMoving, "used up a trial", now, out);
     return true;
   }
-  if (has_earned || !NeedsTrial(move, totals, expected, now))
+  if (has_earned || !NeedsTrial(move, expected, now))
     return false;
   Propose(move, kTrialShare, move_verdict::kMoving,
           std::string(kTrialReason) + ": too little traffic for 5%", now, out);
--- a/packages/rollout/src/rollout_machine.cc
+++ b/packages/rollout/src/rollout_machine.cc
@@ -89,6 +89,7 @@
   const bool is_back = stored.progress.verdict == move_verdict::kRolledBack;
   move.rollback_reason = is_back ? "recorded: " + stored.progress.reason : "";
   move.evidence.clear();
+  move.totals.clear();
   move.slices.clear();
 }
 
@@ -167,8 +168,10 @@
       move.slices.back().begin + kSliceLength <= now.steady) {
     move.slices.push_back({now.steady, {}});
   }
-  auto& pair = move.slices.back().tallies[{key.step, key.route}];
-  (is_new ? pair.first : pair.second).Add(growth);
+  for (pair_table* table : {&move.slices.back().tallies, &move.totals}) {
+    auto& pair = (*table)[{key.step, key.route}];
+    (is_new ? pair.first : pair.second).Add(growth);
+  }
   while (move.slices.front().begin + kSlicesKept < now.steady)
     move.slices.pop_front();
 }
@@ -198,34 +201,6 @@
   out.push_back(evidence_to_peers{std::move(message)});
 }
 
-rollout_machine::pair_table rollout_machine::Totals(const move_state& move) {
-  pair_table table;
-  for (const auto& [from, tallies] : move.evidence) {
-    for (const auto& [key, tally] : tallies) {
-      auto& pair = table[{key.step, key.route}];
-      const bool is_new = key.version == move.spec.to_version;
-      (is_new ? pair.first : pair.second).Add(tally);
-    }
-  }
-  return table;
-}
-
-rollout_machine::pair_table rollout_machine::Recent(const move_state& move,
-                                                    const moment& now,
-                                                    milliseconds window) {
-  pair_table table;
-  for (auto it = move.slices.rbegin(); it != move.slices.rend(); ++it) {
-    if (it->begin + window < now.steady)
-      break;
-    for (const auto& [key, pair] : it->tallies) {
-      auto& sum = table[key];
-      sum.first.Add(pair.first);
-      sum.second.Add(pair.second);
-    }
-  }
-  return table;
-}
-
 // ---- Peers, log and capacity
 // ------------------------------------------------------------------
 
@@ -300,8 +275,12 @@
   // Busy slots are the busy time per time that has passed.
   constexpr milliseconds kWindow{10'000};
   std::uint64_t busy_us = 0;
-  for (const auto& [key, pair] : Recent(move, now, kWindow))
-    busy_us += pair.first.busy_us + pair.second.busy_us;
+  for (const evidence_slice& slice : move.slices) {
+    if (slice.begin + kWindow < now.steady)
+      continue;
+    for (const auto& [key, pair] : slice.tallies)
+      busy_us += pair.first.busy_us + pair.second.busy_us;
+  }
   if (busy_us == 0)
     return kAll;
   const auto window_us =
--- /dev/null
+++ b/packages/rollout/tests/machine_test.cc
@@ -0,0 +1,282 @@
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include "comparison.h"
+#include "dotterellead/rollout.h"
+
+namespace dotterellead {
+namespace {
+
+const move_id kMove("move");
+const version_id kOld("v1");
+const version_id kNew("v2");
+const log_offset kRevision(3);
+const member_id kPeer("b");
+
+// One machine, its configuration and a manual clock.
+struct fixture {
+  rollout_machine machine{member_id("a"), incarnation_id(1)};
+  config_view view;
+  std::vector<rollout_machine::effect> effects;
+  moment now{time_point(milliseconds(50'000)), unix_millis{1'000'000}};
+
+  explicit fixture(move_progress progress = {}) {
+    stored_move& move = view.moves[kMove];
+    move.revision = kRevision;
+    move.spec = {pool_id("pool"), kOld, kNew, unix_millis{1'000'000 + 100'000}};
+    SetProgress(std::move(progress));
+  }
+  void Give(const rollout_machine::message& m) {
+    machine.Step(m, now, effects);
+  }
+  void SetProgress(move_progress progress) {
+    view.moves[kMove].progress = std::move(progress);
+    Give(rollout_config_changed{std::make_shared<config_view>(view)});
+  }
+  void Wait(milliseconds time) {
+    now.steady += time;
+    now.wall.value += time.count();
+    Give(tick{});
+  }
+  void GiveAttempts(const version_id& version, int good, int bad) {
+    attempt_tally tally;
+    for (int i = 0; i < good + bad; ++i)
+      tally.Add(i >= good, microseconds(2'000));
+    Give(attempts_recorded{{{{pool_id("pool"), route_id(0), version}, tally}}});
+  }
+  template <class Effect>
+  std::vector<Effect> Take() {
+    std::vector<Effect> taken;
+    for (const auto& e : effects) {
+      if (const auto* wanted = std::get_if<Effect>(&e))
+        taken.push_back(*wanted);
+    }
+    effects.clear();
+    return taken;
+  }
+};
+
+move_progress At(std::uint32_t share, std::uint32_t step = 2) {
+  return {share, step, move_verdict::kMoving, "earned"};
+}
+
+// Guards against a rolled back move that gets traffic again through a later
+// step record, and against a rollback that is lost while the log is down.
+TEST_CASE("a rollback holds and spreads at every share without the log") {
+  for (const std::uint32_t share : {10, 50, 250, 500, 1000}) {
+    CAPTURE(share);
+    fixture f(At(share));
+    f.Give(rollout_log_changed{false});
+    f.Wait(milliseconds(2'000));
+    CHECK(f.Take<share_changed>().back().shares.at(kNew) == share);
+    f.Give(peer_rollback{kMove, kRevision, "worse"});
+    CHECK(f.Take<share_changed>().back().shares ==
+          version_shares{{kOld, 1000}});
+    f.SetProgress(At(share, 3));
+    CHECK(f.Take<share_changed>().empty());
+    f.Wait(milliseconds(1'000));
+    CHECK(f.Take<rolled_back_to_peers>().size() == 1);
+    f.Give(rollout_log_changed{true});
+    f.Wait(milliseconds(250));
+    const auto proposals = f.Take<propose_step>();
+    REQUIRE(proposals.size() == 1);
+    CHECK(proposals[0].progress.verdict == move_verdict::kRolledBack);
+    CHECK(proposals[0].from_step == 3);
+  }
+}
+
+// Guards against a host that decides a verdict other than the log's.
+TEST_CASE("a verdict in the log decides") {
+  fixture f(At(1000));
+  f.Give(peer_rollback{kMove, kRevision, "worse"});
+  f.SetProgress({1000, 3, move_verdict::kDone, "earned"});
+  CHECK(f.Take<share_changed>().back().shares == version_shares{{kNew, 1000}});
+  f.Give(peer_rollback{kMove, kRevision, "late"});
+  f.Wait(milliseconds(200'000));
+  CHECK(f.effects.empty());
+}
+
+// Guards against a new host that sends requests to a version its peers have
+// rolled back.
+TEST_CASE("a host that finds a move under way waits for its peers") {
+  fixture f(At(500));
+  CHECK(f.Take<share_changed>().back().shares == version_shares{{kOld, 1000}});
+  f.Wait(milliseconds(1'600));
+  CHECK(f.Take<share_changed>().back().shares.at(kNew) == 500);
+}
+
+// Guards against messages for an earlier move of the same name.
+TEST_CASE("messages with another revision are ignored") {
+  fixture f(At(50));
+  f.Wait(milliseconds(2'000));
+  f.effects.clear();
+  f.Give(peer_rollback{kMove, log_offset(2), "worse"});
+  peer_evidence evidence{kPeer, incarnation_id(1), {}, {}};
+  attempt_tally failures;
+  for (int i = 0; i < 50; ++i)
+    failures.Add(true, microseconds(1));
+  evidence.tallies[{kMove, log_offset(2), 2, kNew, route_id(0)}] = failures;
+  f.Give(evidence);
+  f.GiveAttempts(kOld, 500, 0);
+  f.Wait(milliseconds(250));
+  CHECK(f.Take<share_changed>().empty());
+}
+
+// Guards against failures that vanish when a host restarts with counters at
+// zero, and against old messages that arrive late.
+TEST_CASE("evidence of a restarted host adds") {
+  fixture f(At(50));
+  f.GiveAttempts(kOld, 100, 0);
+  const evidence_key key{kMove, kRevision, 2, kNew, route_id(0)};
+  attempt_tally one_failure;
+  one_failure.Add(true, microseconds(1));
+  for (std::uint64_t run = 1; run <= 3; ++run) {
+    f.Give(peer_evidence{kPeer, incarnation_id(run), {}, {{key, one_failure}}});
+    f.Give(peer_evidence{kPeer, incarnation_id(run), {}, {{key, one_failure}}});
+    f.Give(peer_evidence{kPeer, incarnation_id(run), {}, {{key, {}}}});
+  }
+  f.Wait(milliseconds(250));
+  const auto back = f.Take<rolled_back_to_peers>();
+  REQUIRE(back.size() == 1);
+  CHECK(back[0].rollback.reason.find("3 of 3") != std::string::npos);
+}
+
+// Guards against done for a version that has answered nothing, or that has not
+// been watched at 100%.
+TEST_CASE("done needs successes and the observation time") {
+  struct row {
+    int good_new;
+    int wait_ms;
+    bool done;
+  };
+  for (const row& r : {row{0, 40'000, false}, row{400, 9'000, false},
+                       row{400, 40'000, true}}) {
+    CAPTURE(r.good_new);
+    CAPTURE(r.wait_ms);
+    fixture f(At(1000));
+    for (int waited = 0; waited < r.wait_ms; waited += 250) {
+      f.GiveAttempts(kNew, r.good_new / 40, 0);
+      f.Wait(milliseconds(250));
+    }
+    bool done = false;
+    for (const propose_step& p : f.Take<propose_step>())
+      done = done || p.progress.verdict == move_verdict::kDone;
+    CHECK(done == r.done);
+  }
+}
+
+// Guards against a share that the new version's warm slots cannot bear.
+TEST_CASE("the share is bounded by the new version's slots") {
+  fixture f(At(500));
+  f.Wait(milliseconds(2'000));
+  // 10 slots busy for 10 s.
+  attempt_tally busy;
+  busy.requests = 1000;
+  busy.busy_us = 100'000'000;
+  f.Give(attempts_recorded{{{{pool_id("pool"), route_id(0), kOld}, busy}}});
+  f.effects.clear();
+  f.Give(version_capacity{pool_id("pool"), {{kNew, 4}}});
+  CHECK(f.Take<share_changed>().back().shares.at(kNew) == 320);
+  f.Give(version_capacity{pool_id("pool"), {{kNew, 0}}});
+  CHECK(f.Take<share_changed>().back().shares == version_shares{{kOld, 1000}});
+}
+
+// Guards against a flood of messages while nothing happens.
+TEST_CASE("evidence is sent when it has changed, at most every 500 ms") {
+  fixture f(At(50));
+  f.Wait(milliseconds(1'000));
+  f.effects.clear();
+  for (int i = 0; i < 8; ++i) {
+    f.GiveAttempts(kOld, 1, 0);
+    f.Wait(milliseconds(250));
+  }
+  CHECK(f.Take<evidence_to_peers>().size() == 4);
+  for (int i = 0; i < 8; ++i)
+    f.Wait(milliseconds(250));
+  CHECK(f.Take<evidence_to_peers>().size() <= 1);
+}
+
+// Guards against a wrong tail of the test's distribution: the chance that all 3
+// hits among 63 requests fall on the 3 new ones is 1 to 39711.
+TEST_CASE("chances are exact for small numbers") {
+  CHECK(ChanceIfEqual({{3, 3, 60, 0}}) == doctest::Approx(1 / 39711.0));
+  CHECK(ChanceIfEqual({{3, 0, 60, 9}}) == doctest::Approx(1));
+  CHECK(ChanceIfEqual({{2, 1, 2, 1}}) == doctest::Approx(5 / 6.0));
+  CHECK(ChanceIfEqual({{1, 1, 1, 0}, {1, 1, 1, 0}}) == doctest::Approx(0.25));
+}
+
+// Guards against a version that gets more than its share, or bursts of it.
+TEST_CASE("versions are chosen evenly and alike everywhere") {
+  for (const std::uint32_t share : {10, 50, 250, 500}) {
+    const version_shares shares{{kOld, 1000 - share}, {kNew, share}};
+    std::uint32_t chosen = 0;
+    for (std::uint64_t i = 0; i < 10'000; ++i) {
+      const request_id id((std::uint64_t{7} << 40) + i);
+      chosen += ChooseVersion(shares, id) == kNew ? 1 : 0;
+      CHECK(ChooseVersion(shares, id) == ChooseVersion(shares, id));
+    }
+    CHECK(chosen >= share * 10 - 5);
+    CHECK(chosen <= share * 10 + 5);
+  }
+  CHECK_FALSE(ChooseVersion({}, request_id(1)).is_valid());
+}
+
+// Guards against lost counts under concurrent requests.
+TEST_CASE("counters of several threads add up") {
+  version_counters counters;
+  std::vector<std::thread> threads;
+  std::uint64_t taken = 0;
+  for (int t = 0; t < 4; ++t) {
+    threads.emplace_back([&] {
+      for (int i = 0; i < 2'000; ++i)
+        counters.Record(pool_id("pool"), route_id(0), kNew, i % 2 == 0,
+                        microseconds(i));
+    });
+  }
+  const auto take = [&] {
+    for (const auto& [key, tally] : counters.Take())
+      taken += tally.requests;
+  };
+  take();
+  for (std::thread& t : threads)
+    t.join();
+  take();
+  CHECK(taken == 8'000);
+}
+
+// Guards against a peer's message that breaks the host or its totals.
+TEST_CASE("peer messages survive the codec, malformed ones are refused") {
+  attempt_tally tally;
+  tally.Add(false, microseconds(70'000));
+  tally.Add(true, microseconds(9));
+  const peer_evidence evidence{
+      kPeer,
+      incarnation_id(5),
+      {{kMove, {kRevision, unix_millis{12}}}},
+      {{{kMove, kRevision, 2, kNew, route_id(1)}, tally}}};
+  const std::string text = EncodePeerEvidence(evidence);
+  CHECK(DecodePeerEvidence(text) == evidence);
+  const peer_rollback back{kMove, kRevision, "route 0: \"worse\""};
+  CHECK(DecodePeerRollback(EncodePeerRollback(back)) == back);
+  const std::pair<std::string, std::string> changes[] = {
+      {"\"failures\":1", "\"failures\":3"},
+      {"\"step\":2", "\"step\":-2"},
+      {"\"move\":", "\"mov\":"},
+      {"[15,1]", "[15]"},
+      {"[15,1]", "[99,1]"},
+      {"[15,1]", "[15,2]"},
+      {"\"incarnation\":5", "\"incarnation\":\"5\""},
+      {"}", ""}};
+  for (const auto& [from, to] : changes) {
+    CAPTURE(to);
+    std::string broken = text;
+    REQUIRE(broken.find(from) != std::string::npos);
+    broken.replace(broken.find(from), from.size(), to);
+    CHECK_THROWS_AS(DecodePeerEvidence(broken), protocol_error);
+  }
+  CHECK_THROWS_AS(DecodePeerRollback("[]"), protocol_error);
+}
+
+}  // namespace
+}  // namespace dotterellead
