--- a/packages/rollout/src/comparison.cc
+++ b/packages/rollout/src/comparison.cc
@@ -234,6 +234,7 @@
 
 std::vector<stratum> FailureStrata(const std::vector<version_pair>& steps) {
   std::vector<stratum> strata;
+  strata.reserve(steps.size());
   for (const auto& [n, o] : steps)
     strata.push_back({n.requests, n.failures, o.requests, o.failures});
   return strata;
@@ -242,6 +243,7 @@
 std::vector<stratum> SlowStrata(const std::vector<version_pair>& steps,
                                 std::size_t bucket) {
   std::vector<stratum> strata;
+  strata.reserve(steps.size());
   for (const auto& [n, o] : steps) {
     strata.push_back({n.successes(), CountAbove(n, bucket), o.successes(),
                       CountAbove(o, bucket)});
--- a/packages/rollout/tests/simulation_test.cc
+++ b/packages/rollout/tests/simulation_test.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <cstdlib>
+#include <thread>
 
 namespace dotterellead {
 namespace {
@@ -288,8 +290,9 @@
                 std::size_t hosts,
                 std::uint64_t seed,
                 const sim_result& r) {
-  const double share = 100.0 * static_cast<double>(r.new_requests) /
-                       static_cast<double>(r.requests);
+  const double share =
+      100.0 * static_cast<double>(r.new_requests) /
+      static_cast<double>(std::max<std::uint64_t>(1, r.requests));
   const double shown = r.first_fault < 0 ? 0 : r.last_new - r.first_fault;
   return fmt::format(
       "{:<42} {:>2} hosts seed {:>2}: {:<11} at {:6.1f} s, new {:6.2f}%, last "
@@ -329,21 +332,55 @@
   return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
 }
 
-// Guards the main guarantee: bad versions get a small share and none soon
-// after the fault shows, good ones finish in time.
-TEST_CASE("moves end with the right verdict within the bounds") {
+struct run {
+  const scenario* of = nullptr;
+  std::size_t hosts = 0;
+  std::uint64_t seed = 0;
+  sim_result result;
+};
+
+std::vector<run> AllRuns() {
+  std::vector<run> runs;
   for (const scenario& s : kScenarios) {
     for (const std::size_t hosts : {1, 13}) {
-      for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
-        const sim_result r = simulation(s, hosts, seed).Run();
-        const std::string row = Row(s, hosts, seed, r);
-        fmt::print("{}\n", row);
-        CAPTURE(row);
-        CAPTURE(fmt::format("{}", fmt::join(r.trace, "\n")));
-        CheckBounds(s, r);
-      }
+      for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed)
+        runs.push_back({&s, hosts, seed, {}});
     }
   }
+  return runs;
+}
+
+// Each run is deterministic on its own, so threads only shorten the test.
+void RunAll(std::vector<run>& runs) {
+  constexpr std::size_t kThreads = 4;
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> threads;
+  for (std::size_t t = 0; t < kThreads; ++t) {
+    threads.emplace_back([&] {
+      for (std::size_t i = next++; i < runs.size(); i = next++) {
+        run& r = runs[i];
+        r.result = simulation(*r.of, r.hosts, r.seed).Run();
+      }
+    });
+  }
+  for (std::thread& t : threads)
+    t.join();
+}
+
+// Guards the main guarantee: bad versions get a small share and none soon
+// after the fault shows, good ones finish in time.
+TEST_CASE("moves end with the right verdict within the bounds") {
+  std::vector<run> runs = AllRuns();
+  RunAll(runs);
+  for (const run& r : runs) {
+    const std::string row = Row(*r.of, r.hosts, r.seed, r.result);
+    fmt::print("{}\n", row);
+    CAPTURE(row);
+    const std::string trace =
+        fmt::format("{}", fmt::join(r.result.trace, "\n"));
+    CAPTURE(trace);
+    CheckBounds(*r.of, r.result);
+  }
 }
 
 }  // namespace
