Guard the comparison within steps and keep the tests to the naming rules

Pooling all steps in the comparison went unnoticed by the simulation; a case with a fault of both versions after a rise of the share now finds it.

--- a/packages/rollout/tests/machine_test.cc
+++ b/packages/rollout/tests/machine_test.cc
@@ -8,11 +8,11 @@
 namespace dotterellead {
 namespace {
 
-const move_id kMove("move");
-const version_id kOld("v1");
-const version_id kNew("v2");
-const log_offset kRevision(3);
-const member_id kPeer("b");
+const move_id move_name("move");
+const version_id old_version("v1");
+const version_id new_version("v2");
+const log_offset move_revision(3);
+const member_id peer_name("b");
 
 // One machine, its configuration and a manual clock.
 struct fixture {
@@ -22,16 +22,17 @@
   moment now{time_point(milliseconds(50'000)), unix_millis{1'000'000}};
 
   explicit fixture(move_progress progress = {}) {
-    stored_move& move = view.moves[kMove];
-    move.revision = kRevision;
-    move.spec = {pool_id("pool"), kOld, kNew, unix_millis{1'000'000 + 100'000}};
+    stored_move& move = view.moves[move_name];
+    move.revision = move_revision;
+    move.spec = {pool_id("pool"), old_version, new_version,
+                 unix_millis{1'000'000 + 100'000}};
     SetProgress(std::move(progress));
   }
   void Give(const rollout_machine::message& m) {
     machine.Step(m, now, effects);
   }
   void SetProgress(move_progress progress) {
-    view.moves[kMove].progress = std::move(progress);
+    view.moves[move_name].progress = std::move(progress);
     Give(rollout_config_changed{std::make_shared<config_view>(view)});
   }
   void Wait(milliseconds time) {
@@ -69,10 +70,11 @@
     fixture f(At(share));
     f.Give(rollout_log_changed{false});
     f.Wait(milliseconds(2'000));
-    CHECK(f.Take<share_changed>().back().shares.at(kNew) == share);
-    f.Give(peer_rollback{kMove, kRevision, "worse"});
-    CHECK(f.Take<share_changed>().back().shares ==
-          version_shares{{kOld, 1000}});
+    CHECK(f.Take<share_changed>().back().shares.at(new_version) == share);
+    f.Give(peer_rollback{move_name, move_revision, "worse"});
+    const auto changes = f.Take<share_changed>();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].shares == version_shares{{old_version, 1000}});
     f.SetProgress(At(share, 3));
     CHECK(f.Take<share_changed>().empty());
     f.Wait(milliseconds(1'000));
@@ -89,10 +91,11 @@
 // Guards against a host that decides a verdict other than the log's.
 TEST_CASE("a verdict in the log decides") {
   fixture f(At(1000));
-  f.Give(peer_rollback{kMove, kRevision, "worse"});
+  f.Give(peer_rollback{move_name, move_revision, "worse"});
   f.SetProgress({1000, 3, move_verdict::kDone, "earned"});
-  CHECK(f.Take<share_changed>().back().shares == version_shares{{kNew, 1000}});
-  f.Give(peer_rollback{kMove, kRevision, "late"});
+  CHECK(f.Take<share_changed>().back().shares ==
+        version_shares{{new_version, 1000}});
+  f.Give(peer_rollback{move_name, move_revision, "late"});
   f.Wait(milliseconds(200'000));
   CHECK(f.effects.empty());
 }
@@ -101,9 +104,10 @@
 // rolled back.
 TEST_CASE("a host that finds a move under way waits for its peers") {
   fixture f(At(500));
-  CHECK(f.Take<share_changed>().back().shares == version_shares{{kOld, 1000}});
+  CHECK(f.Take<share_changed>().back().shares ==
+        version_shares{{old_version, 1000}});
   f.Wait(milliseconds(1'600));
-  CHECK(f.Take<share_changed>().back().shares.at(kNew) == 500);
+  CHECK(f.Take<share_changed>().back().shares.at(new_version) == 500);
 }
 
 // Guards against messages for an earlier move of the same name.
@@ -111,14 +115,15 @@
   fixture f(At(50));
   f.Wait(milliseconds(2'000));
   f.effects.clear();
-  f.Give(peer_rollback{kMove, log_offset(2), "worse"});
-  peer_evidence evidence{kPeer, incarnation_id(1), {}, {}};
+  f.Give(peer_rollback{move_name, log_offset(2), "worse"});
+  peer_evidence evidence{peer_name, incarnation_id(1), {}, {}};
   attempt_tally failures;
   for (int i = 0; i < 50; ++i)
     failures.Add(true, microseconds(1));
-  evidence.tallies[{kMove, log_offset(2), 2, kNew, route_id(0)}] = failures;
+  evidence.tallies[{move_name, log_offset(2), 2, new_version, route_id(0)}] =
+      failures;
   f.Give(evidence);
-  f.GiveAttempts(kOld, 500, 0);
+  f.GiveAttempts(old_version, 500, 0);
   f.Wait(milliseconds(250));
   CHECK(f.Take<share_changed>().empty());
 }
@@ -127,14 +132,16 @@
 // zero, and against old messages that arrive late.
 TEST_CASE("evidence of a restarted host adds") {
   fixture f(At(50));
-  f.GiveAttempts(kOld, 100, 0);
-  const evidence_key key{kMove, kRevision, 2, kNew, route_id(0)};
+  f.GiveAttempts(old_version, 100, 0);
+  const evidence_key key{move_name, move_revision, 2, new_version, route_id(0)};
   attempt_tally one_failure;
   one_failure.Add(true, microseconds(1));
   for (std::uint64_t run = 1; run <= 3; ++run) {
-    f.Give(peer_evidence{kPeer, incarnation_id(run), {}, {{key, one_failure}}});
-    f.Give(peer_evidence{kPeer, incarnation_id(run), {}, {{key, one_failure}}});
-    f.Give(peer_evidence{kPeer, incarnation_id(run), {}, {{key, {}}}});
+    f.Give(peer_evidence{
+        peer_name, incarnation_id(run), {}, {{key, one_failure}}});
+    f.Give(peer_evidence{
+        peer_name, incarnation_id(run), {}, {{key, one_failure}}});
+    f.Give(peer_evidence{peer_name, incarnation_id(run), {}, {{key, {}}}});
   }
   f.Wait(milliseconds(250));
   const auto back = f.Take<rolled_back_to_peers>();
@@ -142,6 +149,20 @@
   CHECK(back[0].rollback.reason.find("3 of 3") != std::string::npos);
 }
 
+// Guards against blame for a fault of both versions that begins after the
+// share has risen: over both steps together the new version failed more often.
+TEST_CASE("a fault of both versions in one step is not blamed on the new one") {
+  fixture f(At(50, 2));
+  f.GiveAttempts(old_version, 950, 0);
+  f.GiveAttempts(new_version, 50, 0);
+  f.Wait(milliseconds(250));
+  f.SetProgress(At(500, 3));
+  f.GiveAttempts(old_version, 250, 250);
+  f.GiveAttempts(new_version, 250, 250);
+  f.Wait(milliseconds(250));
+  CHECK(f.Take<rolled_back_to_peers>().empty());
+}
+
 // Guards against done for a version that has answered nothing, or that has not
 // been watched at 100%.
 TEST_CASE("done needs successes and the observation time") {
@@ -156,7 +177,7 @@
     CAPTURE(r.wait_ms);
     fixture f(At(1000));
     for (int waited = 0; waited < r.wait_ms; waited += 250) {
-      f.GiveAttempts(kNew, r.good_new / 40, 0);
+      f.GiveAttempts(new_version, r.good_new / 40, 0);
       f.Wait(milliseconds(250));
     }
     bool done = false;
@@ -174,12 +195,14 @@
   attempt_tally busy;
   busy.requests = 1000;
   busy.busy_us = 100'000'000;
-  f.Give(attempts_recorded{{{{pool_id("pool"), route_id(0), kOld}, busy}}});
+  f.Give(
+      attempts_recorded{{{{pool_id("pool"), route_id(0), old_version}, busy}}});
   f.effects.clear();
-  f.Give(version_capacity{pool_id("pool"), {{kNew, 4}}});
-  CHECK(f.Take<share_changed>().back().shares.at(kNew) == 320);
-  f.Give(version_capacity{pool_id("pool"), {{kNew, 0}}});
-  CHECK(f.Take<share_changed>().back().shares == version_shares{{kOld, 1000}});
+  f.Give(version_capacity{pool_id("pool"), {{new_version, 4}}});
+  CHECK(f.Take<share_changed>().back().shares.at(new_version) == 320);
+  f.Give(version_capacity{pool_id("pool"), {{new_version, 0}}});
+  CHECK(f.Take<share_changed>().back().shares ==
+        version_shares{{old_version, 1000}});
 }
 
 // Guards against a flood of messages while nothing happens.
@@ -188,7 +211,7 @@
   f.Wait(milliseconds(1'000));
   f.effects.clear();
   for (int i = 0; i < 8; ++i) {
-    f.GiveAttempts(kOld, 1, 0);
+    f.GiveAttempts(old_version, 1, 0);
     f.Wait(milliseconds(250));
   }
   CHECK(f.Take<evidence_to_peers>().size() == 4);
@@ -209,11 +232,12 @@
 // Guards against a version that gets more than its share, or bursts of it.
 TEST_CASE("versions are chosen evenly and alike everywhere") {
   for (const std::uint32_t share : {10, 50, 250, 500}) {
-    const version_shares shares{{kOld, 1000 - share}, {kNew, share}};
+    const version_shares shares{{old_version, 1000 - share},
+                                {new_version, share}};
     std::uint32_t chosen = 0;
     for (std::uint64_t i = 0; i < 10'000; ++i) {
       const request_id id((std::uint64_t{7} << 40) + i);
-      chosen += ChooseVersion(shares, id) == kNew ? 1 : 0;
+      chosen += ChooseVersion(shares, id) == new_version ? 1 : 0;
       CHECK(ChooseVersion(shares, id) == ChooseVersion(shares, id));
     }
     CHECK(chosen >= share * 10 - 5);
@@ -226,11 +250,12 @@
 TEST_CASE("counters of several threads add up") {
   version_counters counters;
   std::vector<std::thread> threads;
+  threads.reserve(4);
   std::uint64_t taken = 0;
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&] {
       for (int i = 0; i < 2'000; ++i)
-        counters.Record(pool_id("pool"), route_id(0), kNew, i % 2 == 0,
+        counters.Record(pool_id("pool"), route_id(0), new_version, i % 2 == 0,
                         microseconds(i));
     });
   }
@@ -251,13 +276,13 @@
   tally.Add(false, microseconds(70'000));
   tally.Add(true, microseconds(9));
   const peer_evidence evidence{
-      kPeer,
+      peer_name,
       incarnation_id(5),
-      {{kMove, {kRevision, unix_millis{12}}}},
-      {{{kMove, kRevision, 2, kNew, route_id(1)}, tally}}};
+      {{move_name, {move_revision, unix_millis{12}}}},
+      {{{move_name, move_revision, 2, new_version, route_id(1)}, tally}}};
   const std::string text = EncodePeerEvidence(evidence);
   CHECK(DecodePeerEvidence(text) == evidence);
-  const peer_rollback back{kMove, kRevision, "route 0: \"worse\""};
+  const peer_rollback back{move_name, move_revision, "route 0: \"worse\""};
   CHECK(DecodePeerRollback(EncodePeerRollback(back)) == back);
   const std::pair<std::string, std::string> changes[] = {
       {"\"failures\":1", "\"failures\":3"},
@@ -268,11 +293,12 @@
       {"[15,1]", "[15,2]"},
       {"\"incarnation\":5", "\"incarnation\":\"5\""},
       {"}", ""}};
-  for (const auto& [from, to] : changes) {
-    CAPTURE(to);
+  for (const auto& change : changes) {
+    CAPTURE(change.second);
     std::string broken = text;
-    REQUIRE(broken.find(from) != std::string::npos);
-    broken.replace(broken.find(from), from.size(), to);
+    const std::size_t at = broken.find(change.first);
+    REQUIRE(at != std::string::npos);
+    broken.replace(at, change.first.size(), change.second);
     CHECK_THROWS_AS(DecodePeerEvidence(broken), protocol_error);
   }
   CHECK_THROWS_AS(DecodePeerRollback("[]"), protocol_error);
--- a/packages/rollout/tests/simulation_test.cc
+++ b/packages/rollout/tests/simulation_test.cc
@@ -10,10 +10,10 @@
 namespace dotterellead {
 namespace {
 
-const pool_id kPool("pool");
-const move_id kMove("move");
-const version_id kOld("v1");
-const version_id kNew("v2");
+const pool_id pool_name("pool");
+const move_id move_name("move");
+const version_id old_version("v1");
+const version_id new_version("v2");
 constexpr std::int64_t kWallStart = 1'700'000'000'000;
 constexpr std::int64_t kStepMs = 10;
 constexpr std::int64_t kTickMs = 250;
@@ -24,10 +24,10 @@
 
 simulation::simulation(const scenario& s, std::size_t hosts, std::uint64_t seed)
     : scenario_(s), random_(seed), hosts_(hosts) {
-  stored_move& move = view_.moves[kMove];
+  stored_move& move = view_.moves[move_name];
   move.revision = log_offset(7);
   move.spec = {
-      kPool, kOld, kNew,
+      pool_name, old_version, new_version,
       unix_millis{kWallStart + static_cast<std::int64_t>(s.deadline * 1000)}};
   for (std::size_t i = 0; i < hosts_.size(); ++i)
     Start(i);
@@ -44,7 +44,7 @@
       rollout_machine(member_id(fmt::format("host{:02}", i)),
                       incarnation_id(static_cast<std::uint64_t>(now_ms_))),
       *h.counters);
-  h.shares = {{kOld, 1000}};
+  h.shares = {{old_version, 1000}};
   Deliver(i, rollout_config_changed{std::make_shared<config_view>(view_)});
   Deliver(i, rollout_log_changed{!log_was_down_});
   TellPeers();
@@ -94,7 +94,7 @@
 
 // The rule of the configuration's replay for move_step records.
 void simulation::Append(std::size_t from, const propose_step& p) {
-  stored_move& move = view_.moves[kMove];
+  stored_move& move = view_.moves[move_name];
   step_result result{p.move, p.revision, p.from_step, step_outcome::kAccepted};
   const bool matches = move.revision == p.revision &&
                        move.progress.verdict == move_verdict::kMoving &&
@@ -117,7 +117,7 @@
 }
 
 void simulation::PublishConfig() {
-  const stored_move& move = view_.moves[kMove];
+  const stored_move& move = view_.moves[move_name];
   if (move.progress.verdict != move_verdict::kMoving) {
     result_.verdict = move.progress.verdict;
     result_.reason = move.progress.reason;
@@ -163,9 +163,9 @@
   const std::uint64_t dice = random_() % 100;
   sim_request r;
   r.time = Seconds();
-  r.is_new = ChooseVersion(h.shares, id) == kNew;
+  r.is_new = ChooseVersion(h.shares, id) == new_version;
   r.route = dice < 3 ? 2 : dice < 30 ? 1 : 0;
-  r.share_per_mille = view_.moves[kMove].progress.share_per_mille;
+  r.share_per_mille = view_.moves[move_name].progress.share_per_mille;
   r.in_failed_zone = random_() % 3 == 0;
   sim_outcome outcome = scenario_.behave(r);
   // Both versions fail now and then.
@@ -173,8 +173,9 @@
   const double spread = static_cast<double>(random_() % 10'000);
   const microseconds latency(
       static_cast<std::int64_t>((10'000 + spread) * outcome.latency_factor));
-  h.counters->Record(kPool, route_id(r.route), r.is_new ? kNew : kOld,
-                     outcome.failed, latency);
+  h.counters->Record(pool_name, route_id(r.route),
+                     r.is_new ? new_version : old_version, outcome.failed,
+                     latency);
   if (result_.verdict == move_verdict::kMoving)
     ++result_.requests;
   if (!r.is_new)
@@ -255,7 +256,7 @@
   return FailIf(r.is_new && second % 20 >= 17);
 }
 
-const scenario kScenarios[] = {
+const scenario scenarios[] = {
     {"good", false, Good},
     {"good, 1 request per 2 s", false, Good, 0.5},
     {"good, zone outage hits both", false, ZoneOutage},
@@ -341,7 +342,7 @@
 
 std::vector<run> AllRuns() {
   std::vector<run> runs;
-  for (const scenario& s : kScenarios) {
+  for (const scenario& s : scenarios) {
     for (const std::size_t hosts : {1, 13}) {
       for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed)
         runs.push_back({&s, hosts, seed, {}});
