--- a/packages/admission/include/dotterellead/admission.h
+++ b/packages/admission/include/dotterellead/admission.h
@@ -24,8 +24,10 @@
 
 namespace limits {
 
-// A lone request may retry even before its pool has earned a whole token.
+// A lone request may retry even before its pool has earned a whole retry: up to
+// this many are refilled, one per kRetryFloorInterval.
 inline constexpr std::uint32_t kRetryFloor = 3;
+inline constexpr milliseconds kRetryFloorInterval{1'000};
 // The most unused retries a pool can save up.
 inline constexpr std::uint32_t kRetryCap = 50;
 // How long a crash waits for peers to acknowledge the strike.
@@ -99,12 +101,17 @@
   bool clear = false;
   // Its ask that waits for a grant; 0 if none.
   std::uint64_t pending_ask = 0;
+  // Granted runs that ended there without a crash since the latest strike.
+  std::uint32_t clean_runs = 0;
   bool operator==(const run_poll_answer&) const = default;
 };
 
-// Enough runs ended without a crash; these strikes no longer count.
+// Enough runs ended without a crash; these strikes no longer count. Accepted
+// only by a host whose latest answer was for this round, so that a late copy
+// cannot clear a newer strike.
 struct strikes_cleared {
   strike_record record;
+  std::uint64_t round = 0;
   bool operator==(const strikes_cleared&) const = default;
 };
 
@@ -150,6 +157,8 @@
 // admission_gate::End, if admission_table::End asks for it.
 struct end_run {
   request_fingerprint fingerprint;
+  // A backend server gave a whole answer. Only such runs clear a strike.
+  bool answered = false;
 };
 
 // Answer to mark_struck: the runs that the table counted in flight.
@@ -248,7 +257,7 @@
   run_shard& ShardOf(request_fingerprint fingerprint);
 
   std::array<run_shard, kShards> runs_;
-  // By pool and thread, so that one busy pool's threads do not share a lock.
+  // By thread, so that one busy pool's threads do not share a lock.
   std::array<pool_shard, kShards> pools_;
 };
 
@@ -256,15 +265,17 @@
 // -----------------------------------------------------------------------------
 
 // Token bucket of one pool: each first try earns kRetryBudgetPerMille
-// thousandths of a retry. Starts with kRetryFloor retries; holds at most
-// kRetryCap.
+// thousandths of a retry, up to kRetryCap retries.
 class retry_budget {
  public:
   void AddFirstTries(std::uint64_t count);
-  bool Take();
+  bool Take(time_point now);
 
  private:
+  void RefillFloor(time_point now);
+
   std::uint64_t per_mille_ = std::uint64_t{1'000} * limits::kRetryFloor;
+  std::optional<time_point> refilled_;
 };
 
 // ---- Machine
@@ -329,20 +340,28 @@
     std::deque<asker> askers;
     // 0: no poll in progress.
     std::uint64_t round = 0;
-    std::set<member_id> clear;
+    // Hosts that run nothing, with their clean runs.
+    std::map<member_id, std::uint32_t> clear;
+    // Hosts that were seen or allowed to run it. If one dies, its run counts
+    // as a crash.
+    std::set<member_id> busy;
     std::optional<asker> granted;
-    // Lost servers when the latest run was granted.
-    std::size_t servers_at_grant = 0;
-    std::uint32_t clean_runs = 0;
   };
   struct record {
     std::set<server_id> servers;
     time_point last_strike;
+    // runs_counted has arrived.
     bool counted = false;
     // Runs begun and not ended, crashed ones included until their caller ends.
     std::int64_t runs = 0;
+    // Crashed runs whose caller waits for a decision.
     std::int64_t crashed = 0;
+    bool granted_here = false;
+    std::uint32_t clean_runs = 0;
+    std::uint64_t answered_round = 0;
     std::set<member_id> unacknowledged;
+    time_point resend_at;
+    milliseconds resend_gap{0};
     std::vector<waiting_crash> crashes;
     std::deque<waiting_run> waiting;
     // The ask that waits for its grant, and whom it was sent to.
--- /dev/null
+++ b/packages/admission/src/admission_codec.cc
@@ -0,0 +1,200 @@
+#include <json/json.h>
+
+#include <array>
+#include <memory>
+
+#include "dotterellead/admission.h"
+
+namespace dotterellead {
+namespace {
+
+constexpr Json::ArrayIndex kMaxServers = 64;
+
+[[noreturn]] void Fail(const std::string& field) {
+  throw protocol_error("admission message has a bad field " + field,
+                       "run the same version on all entry hosts");
+}
+
+const Json::Value& Member(const Json::Value& json, const char* name) {
+  if (!json.isObject() || !json.isMember(name))
+    Fail(name);
+  return json[name];
+}
+
+std::uint64_t ReadNumber(const Json::Value& json, const char* name) {
+  const Json::Value& value = Member(json, name);
+  if (!value.isUInt64())
+    Fail(name);
+  return value.asUInt64();
+}
+
+bool ReadBool(const Json::Value& json, const char* name) {
+  const Json::Value& value = Member(json, name);
+  if (!value.isBool())
+    Fail(name);
+  return value.asBool();
+}
+
+Json::Value WriteServers(const std::vector<server_id>& servers) {
+  Json::Value list(Json::arrayValue);
+  for (const server_id& server : servers)
+    list.append(server.value());
+  return list;
+}
+
+std::vector<server_id> ReadServers(const Json::Value& json) {
+  const Json::Value& list = Member(json, "servers");
+  if (!list.isArray() || list.size() > kMaxServers)
+    Fail("servers");
+  std::vector<server_id> servers;
+  for (const Json::Value& server : list) {
+    if (!server.isString() || server.asString().empty())
+      Fail("servers");
+    servers.emplace_back(server.asString());
+  }
+  return servers;
+}
+
+void WriteRecord(Json::Value& json, const strike_record& record) {
+  json["fingerprint"] = Json::UInt64{record.fingerprint.value()};
+  json["servers"] = WriteServers(record.servers);
+  json["age_ms"] = Json::Int64{record.age.count()};
+}
+
+strike_record ReadRecord(const Json::Value& json) {
+  const std::uint64_t age = ReadNumber(json, "age_ms");
+  // Older records are forgotten; the bound also keeps the sum in range.
+  if (age > std::uint64_t{1} << 40)
+    Fail("age_ms");
+  return {.fingerprint = request_fingerprint(ReadNumber(json, "fingerprint")),
+          .servers = ReadServers(json),
+          .age = milliseconds(age)};
+}
+
+void Write(Json::Value& json, const peer_strike& m) {
+  WriteRecord(json, m.record);
+}
+
+void Write(Json::Value& json, const peer_strike_acknowledged& m) {
+  json["fingerprint"] = Json::UInt64{m.fingerprint.value()};
+  json["servers"] = WriteServers(m.servers);
+}
+
+void Write(Json::Value& json, const run_ask& m) {
+  WriteRecord(json, m.record);
+  json["ask"] = Json::UInt64{m.ask};
+}
+
+void Write(Json::Value& json, const run_grant& m) {
+  WriteRecord(json, m.record);
+  json["ask"] = Json::UInt64{m.ask};
+  json["allowed"] = m.allowed;
+}
+
+void Write(Json::Value& json, const run_poll& m) {
+  WriteRecord(json, m.record);
+  json["round"] = Json::UInt64{m.round};
+}
+
+void Write(Json::Value& json, const run_poll_answer& m) {
+  WriteRecord(json, m.record);
+  json["round"] = Json::UInt64{m.round};
+  json["clear"] = m.clear;
+  json["pending_ask"] = Json::UInt64{m.pending_ask};
+  json["clean_runs"] = m.clean_runs;
+}
+
+void Write(Json::Value& json, const strikes_cleared& m) {
+  WriteRecord(json, m.record);
+  json["round"] = Json::UInt64{m.round};
+}
+
+admission_peer_message ReadStrike(const Json::Value& json) {
+  return peer_strike{ReadRecord(json)};
+}
+
+admission_peer_message ReadAcknowledged(const Json::Value& json) {
+  return peer_strike_acknowledged{
+      request_fingerprint(ReadNumber(json, "fingerprint")), ReadServers(json)};
+}
+
+admission_peer_message ReadAsk(const Json::Value& json) {
+  return run_ask{ReadRecord(json), ReadNumber(json, "ask")};
+}
+
+admission_peer_message ReadGrant(const Json::Value& json) {
+  return run_grant{ReadRecord(json), ReadNumber(json, "ask"),
+                   ReadBool(json, "allowed")};
+}
+
+admission_peer_message ReadPoll(const Json::Value& json) {
+  return run_poll{ReadRecord(json), ReadNumber(json, "round")};
+}
+
+admission_peer_message ReadPollAnswer(const Json::Value& json) {
+  const std::uint64_t clean_runs = ReadNumber(json, "clean_runs");
+  if (clean_runs > UINT16_MAX)
+    Fail("clean_runs");
+  return run_poll_answer{.record = ReadRecord(json),
+                         .round = ReadNumber(json, "round"),
+                         .clear = ReadBool(json, "clear"),
+                         .pending_ask = ReadNumber(json, "pending_ask"),
+                         .clean_runs = static_cast<std::uint32_t>(clean_runs)};
+}
+
+admission_peer_message ReadCleared(const Json::Value& json) {
+  return strikes_cleared{ReadRecord(json), ReadNumber(json, "round")};
+}
+
+struct kind {
+  std::string_view name;
+  admission_peer_message (*read)(const Json::Value&);
+};
+
+// In the order of the variant.
+constexpr std::array<kind, std::variant_size_v<admission_peer_message>> kKinds =
+    {{
+        {"strike", ReadStrike},
+        {"strike_acknowledged", ReadAcknowledged},
+        {"run_ask", ReadAsk},
+        {"run_grant", ReadGrant},
+        {"run_poll", ReadPoll},
+        {"run_poll_answer", ReadPollAnswer},
+        {"strikes_cleared", ReadCleared},
+    }};
+
+Json::Value Parse(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value json;
+  std::string problem;
+  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
+    Fail("(not JSON)");
+  return json;
+}
+
+}  // namespace
+
+std::string EncodeAdmissionMessage(const admission_peer_message& m) {
+  Json::Value json(Json::objectValue);
+  json["kind"] = std::string(kKinds[m.index()].name);
+  std::visit([&json](const auto& alternative) { Write(json, alternative); }, m);
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, json);
+}
+
+admission_peer_message DecodeAdmissionMessage(std::string_view text) {
+  const Json::Value json = Parse(text);
+  const Json::Value& name = Member(json, "kind");
+  if (!name.isString())
+    Fail("kind");
+  for (const kind& k : kKinds) {
+    if (k.name == name.asString())
+      return k.read(json);
+  }
+  Fail("kind");
+}
+
+}  // namespace dotterellead
--- /dev/null
+++ b/packages/admission/src/admission_table.cc
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <thread>
+
+#include "dotterellead/admission.h"
+
+namespace dotterellead {
+
+admission_table::run_shard& admission_table::ShardOf(
+    request_fingerprint fingerprint) {
+  return runs_[fingerprint.value() % kShards];
+}
+
+bool admission_table::TryBegin(const pool_id& pool,
+                               request_fingerprint fingerprint) {
+  {
+    run_shard& shard = ShardOf(fingerprint);
+    std::lock_guard lock(shard.mutex);
+    entry& e = shard.entries[fingerprint];
+    if (e.struck)
+      return false;
+    ++e.runs;
+  }
+  static const std::hash<std::thread::id> kHash;
+  thread_local const std::size_t kOwnShard =
+      kHash(std::this_thread::get_id()) % kShards;
+  pool_shard& shard = pools_[kOwnShard];
+  std::lock_guard lock(shard.mutex);
+  ++shard.first_tries[pool];
+  return true;
+}
+
+bool admission_table::End(request_fingerprint fingerprint) {
+  run_shard& shard = ShardOf(fingerprint);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.entries.find(fingerprint);
+  if (it == shard.entries.end())
+    return true;
+  entry& e = it->second;
+  const bool tell_duty = e.struck || e.runs == 0;
+  e.runs -= e.runs > 0 ? 1 : 0;
+  if (e.runs == 0 && !e.struck)
+    shard.entries.erase(it);
+  return tell_duty;
+}
+
+std::uint32_t admission_table::Mark(request_fingerprint fingerprint) {
+  run_shard& shard = ShardOf(fingerprint);
+  std::lock_guard lock(shard.mutex);
+  entry& e = shard.entries[fingerprint];
+  e.struck = true;
+  return e.runs;
+}
+
+void admission_table::Unmark(request_fingerprint fingerprint) {
+  run_shard& shard = ShardOf(fingerprint);
+  std::lock_guard lock(shard.mutex);
+  const auto it = shard.entries.find(fingerprint);
+  if (it == shard.entries.end())
+    return;
+  it->second.struck = false;
+  if (it->second.runs == 0)
+    shard.entries.erase(it);
+}
+
+std::uint64_t admission_table::TakeFirstTries(const pool_id& pool) {
+  std::uint64_t sum = 0;
+  for (pool_shard& shard : pools_) {
+    std::lock_guard lock(shard.mutex);
+    const auto it = shard.first_tries.find(pool);
+    if (it != shard.first_tries.end())
+      sum += std::exchange(it->second, 0);
+  }
+  return sum;
+}
+
+void retry_budget::AddFirstTries(std::uint64_t count) {
+  constexpr std::uint64_t kCap = std::uint64_t{1'000} * limits::kRetryCap;
+  const std::uint64_t counted = std::min(count, kCap);
+  per_mille_ =
+      std::min(kCap, per_mille_ + counted * limits::kRetryBudgetPerMille);
+}
+
+void retry_budget::RefillFloor(time_point now) {
+  constexpr std::uint64_t kFloor = std::uint64_t{1'000} * limits::kRetryFloor;
+  if (!refilled_)
+    refilled_ = now;
+  const auto earned = (now - *refilled_) / limits::kRetryFloorInterval;
+  if (earned <= 0)
+    return;
+  refilled_ = *refilled_ + earned * limits::kRetryFloorInterval;
+  if (per_mille_ < kFloor) {
+    per_mille_ = std::min(
+        kFloor, per_mille_ + static_cast<std::uint64_t>(earned) * 1'000);
+  }
+}
+
+bool retry_budget::Take(time_point now) {
+  RefillFloor(now);
+  if (per_mille_ < 1'000)
+    return false;
+  per_mille_ -= 1'000;
+  return true;
+}
+
+}  // namespace dotterellead
--- a/packages/measure/include/dotterellead/measure.h
+++ b/packages/measure/include/dotterellead/measure.h
@@ -21,6 +21,12 @@
 inline constexpr std::int64_t kMaxSavedProbes = 4;
 // Probes in a row that run out of time before the server is suspected.
 inline constexpr std::uint32_t kSlowProbesBeforeSuspect = 3;
+// The longest time of one probe. Shorter than the wait of a new home, so that a
+// probe of the former home has ended by then.
+inline constexpr milliseconds kMaxProbeTime{300};
+static_assert(kMaxProbeTime < kProbeInterval);
+// A probe without an outcome this long after its time limit is given up.
+inline constexpr milliseconds kProbeOutcomeMargin{200};
 inline constexpr milliseconds kMeasureTick{50};
 
 }  // namespace limits
@@ -133,6 +139,7 @@
     time_point last_sent;
     double cost_us = 1'000.0 * limits::kProbeCost.count();
     bool probing = false;
+    microseconds time_limit{0};
     std::uint32_t slow_probes = 0;
     std::optional<probe_report> report;
     // When the report was made, by the server's own age field.
@@ -148,6 +155,16 @@
   void On(const probe_done& m, const moment& now, std::vector<effect>& out);
   void On(const attempt_seen& m, const moment& now, std::vector<effect>& out);
   void On(const tick& m, const moment& now, std::vector<effect>& out);
+  static void Finish(server_state& state,
+                     const probe_done& m,
+                     const moment& now,
+                     std::vector<effect>& out);
+  static void GiveUpProbe(server_state& state,
+                          const moment& now,
+                          std::vector<effect>& out);
+  static void StartProbe(server_state& state,
+                         const moment& now,
+                         std::vector<effect>& out);
   static void Earn(server_state& state, const moment& now);
   static bool IsDue(const server_state& state, const moment& now);
   static void Tell(server_state& state,
--- /dev/null
+++ b/packages/measure/src/measure_machine.cc
@@ -0,0 +1,213 @@
+#include <algorithm>
+#include <cmath>
+
+#include "dotterellead/measure.h"
+
+namespace dotterellead {
+namespace {
+
+// Share of the newest probe in the running average of probe cost.
+constexpr double kCostWeight = 0.2;
+// One answered probe cannot make the estimate smaller than this, which bounds
+// how many probes are due at once after a quiet period.
+constexpr double kSmallestCostUs = 100;
+constexpr double kLargestCostUs = 1'000.0 * limits::kMaxProbeTime.count();
+constexpr std::int32_t kTrustLost = 250;
+constexpr std::int32_t kTrustRegained = 125;
+// A weight is reported again when it has changed by this much, or to zero.
+constexpr std::uint32_t kWeightStep = 100;
+
+// Probe time earned per microsecond.
+double RateOf(const homed_server& spec) {
+  return spec.budget_per_mille / 1'000.0 * spec.slots;
+}
+
+// Time between two probes of the given cost.
+microseconds IntervalOf(const homed_server& spec, double cost_us) {
+  const double rate = RateOf(spec);
+  if (rate <= 0)
+    return microseconds::max() / 4;
+  const microseconds earned(
+      static_cast<std::int64_t>(std::ceil(cost_us / rate)));
+  return std::max<microseconds>(earned, limits::kProbeInterval);
+}
+
+std::uint32_t WeightOf(const moment& now,
+                       time_point made_at,
+                       std::int32_t trust_per_mille) {
+  const auto age = now.steady - made_at;
+  if (age >= limits::kMaxReportAge || trust_per_mille <= 0)
+    return 0;
+  const auto left = limits::kMaxReportAge - std::max(age, age.zero());
+  const double share = std::chrono::duration<double>(left) /
+                       std::chrono::duration<double>(limits::kMaxReportAge);
+  return static_cast<std::uint32_t>(share * trust_per_mille);
+}
+
+}  // namespace
+
+std::string_view to_string(suspicion reason) {
+  return reason == suspicion::kProbeFailed ? "probe-failed" : "probes-slow";
+}
+
+void measure_machine::Step(const message& m,
+                           const moment& now,
+                           std::vector<effect>& out) {
+  std::visit([&](const auto& alternative) { On(alternative, now, out); }, m);
+}
+
+void measure_machine::On(const servers_homed_here& m,
+                         const moment& now,
+                         std::vector<effect>&) {
+  std::map<server_id, server_state> homed;
+  for (const homed_server& spec : m.servers) {
+    const auto known = servers_.find(spec.server);
+    const bool is_same =
+        known != servers_.end() && known->second.spec.since == spec.since;
+    server_state state;
+    if (is_same) {
+      Earn(known->second, now);
+      state = std::move(known->second);
+    } else {
+      state.earned_until = spec.since;
+      state.last_sent = spec.since;
+    }
+    state.spec = spec;
+    homed.insert_or_assign(spec.server, std::move(state));
+  }
+  servers_ = std::move(homed);
+}
+
+void measure_machine::On(const probe_done& m,
+                         const moment& now,
+                         std::vector<effect>& out) {
+  const auto it = servers_.find(m.server);
+  if (it == servers_.end() || !it->second.probing)
+    return;
+  Finish(it->second, m, now, out);
+}
+
+void measure_machine::Finish(server_state& state,
+                             const probe_done& m,
+                             const moment& now,
+                             std::vector<effect>& out) {
+  Earn(state, now);
+  state.probing = false;
+  const auto cost = static_cast<double>(m.cost.count());
+  state.credit_us -= cost;
+  if (m.result == probe_result::kTimedOut) {
+    // The real cost is unknown and higher, so the next probe gets more time.
+    state.cost_us = std::clamp(2 * cost, state.cost_us, kLargestCostUs);
+    if (++state.slow_probes >= limits::kSlowProbesBeforeSuspect)
+      out.emplace_back(server_suspected{m.server, suspicion::kProbesSlow});
+    return;
+  }
+  state.slow_probes = 0;
+  state.cost_us += kCostWeight * (cost - state.cost_us);
+  state.cost_us = std::clamp(state.cost_us, kSmallestCostUs, kLargestCostUs);
+  if (m.result == probe_result::kFailed) {
+    out.emplace_back(server_suspected{m.server, suspicion::kProbeFailed});
+    return;
+  }
+  state.report = m.report;
+  state.made_at = now.steady - m.report.age;
+  Tell(state, now, out);
+}
+
+void measure_machine::GiveUpProbe(server_state& state,
+                                  const moment& now,
+                                  std::vector<effect>& out) {
+  const auto ends = state.last_sent + state.time_limit;
+  if (!state.probing || now.steady < ends + limits::kProbeOutcomeMargin)
+    return;
+  Finish(state,
+         {.server = state.spec.server,
+          .result = probe_result::kTimedOut,
+          .cost = state.time_limit},
+         now, out);
+}
+
+void measure_machine::StartProbe(server_state& state,
+                                 const moment& now,
+                                 std::vector<effect>& out) {
+  const microseconds earned(static_cast<std::int64_t>(state.credit_us));
+  state.time_limit = std::min<microseconds>(earned, limits::kMaxProbeTime);
+  state.probing = true;
+  state.last_sent = now.steady;
+  out.emplace_back(send_probe{state.spec.server, state.time_limit});
+}
+
+void measure_machine::On(const attempt_seen& m,
+                         const moment& now,
+                         std::vector<effect>& out) {
+  const auto it = servers_.find(m.server);
+  if (it == servers_.end() || !it->second.report)
+    return;
+  server_state& state = it->second;
+  const probe_report& report = *state.report;
+  // A report may be one request behind; more than that is a contradiction.
+  const bool contradicted = m.failed || m.in_flight > report.in_flight + 1 ||
+                            m.cold.value_or(report.cold) != report.cold;
+  const std::int32_t change = contradicted ? -kTrustLost : kTrustRegained;
+  state.trust_per_mille = std::clamp(state.trust_per_mille + change, 0, 1'000);
+  if (contradicted)
+    Tell(state, now, out);
+}
+
+void measure_machine::On(const tick&,
+                         const moment& now,
+                         std::vector<effect>& out) {
+  for (auto& [server, state] : servers_) {
+    Earn(state, now);
+    GiveUpProbe(state, now, out);
+    if (IsDue(state, now))
+      StartProbe(state, now, out);
+    if (!state.report || state.told_weight == 0)
+      continue;
+    const std::uint32_t weight =
+        WeightOf(now, state.made_at, state.trust_per_mille);
+    if (weight == 0 || weight + kWeightStep <= state.told_weight)
+      Tell(state, now, out);
+  }
+}
+
+void measure_machine::Earn(server_state& state, const moment& now) {
+  if (now.steady <= state.earned_until)
+    return;
+  const std::chrono::duration<double, std::micro> passed =
+      now.steady - state.earned_until;
+  state.earned_until = now.steady;
+  const double rate = RateOf(state.spec);
+  const auto interval =
+      static_cast<double>(IntervalOf(state.spec, state.cost_us).count());
+  const double most =
+      rate * interval * static_cast<double>(limits::kMaxSavedProbes);
+  // Earning never reduces what a smaller estimate would no longer allow to
+  // save.
+  state.credit_us = std::max(
+      state.credit_us, std::min(most, state.credit_us + passed.count() * rate));
+}
+
+bool measure_machine::IsDue(const server_state& state, const moment& now) {
+  const microseconds interval = IntervalOf(state.spec, state.cost_us);
+  return !state.probing && state.credit_us >= state.cost_us &&
+         now.steady >= state.last_sent + interval;
+}
+
+void measure_machine::Tell(server_state& state,
+                           const moment& now,
+                           std::vector<effect>& out) {
+  const probe_report& report = *state.report;
+  state.told_weight = WeightOf(now, state.made_at, state.trust_per_mille);
+  out.emplace_back(load_estimate{
+      .server = state.spec.server,
+      .cold = report.cold,
+      .draining = report.draining,
+      .in_flight = report.in_flight,
+      .boot = report.boot,
+      .age =
+          std::chrono::duration_cast<milliseconds>(now.steady - state.made_at),
+      .weight_per_mille = state.told_weight});
+}
+
+}  // namespace dotterellead
