--- a/packages/admission/include/dotterellead/admission.h
+++ b/packages/admission/include/dotterellead/admission.h
@@ -91,6 +91,9 @@
 struct run_poll {
   strike_record record;
   std::uint64_t round = 0;
+  // Hosts that hold the run or are next to get it. If one dies, every host that
+  // was polled counts its run as a crash, even if the owner died as well.
+  std::vector<member_id> holders;
   bool operator==(const run_poll&) const = default;
 };
 
@@ -184,6 +187,7 @@
 // ---- Effects
 // ----------------------------------------------------------------------------------
 
+// If nobody waits for a true answer any more, the sink posts end_run.
 struct begin_answer {
   request_id request;
   bool allowed = false;
@@ -295,8 +299,7 @@
 //   message is out (a granted run whose host dies counts as a lost server);
 // - a partition: the side without a majority grants no run, but may lose
 //   servers to its own ungranted runs;
-// - the owner and the host of the granted run failing together;
-// - a holder of a grant that a new owner takes for dead while it still runs.
+// - a holder of a grant that restarts before anyone notices that it was dead.
 class admission_machine {
  public:
   using message = std::variant<begin_run,
@@ -359,6 +362,9 @@
     bool granted_here = false;
     std::uint32_t clean_runs = 0;
     std::uint64_t answered_round = 0;
+    // By the latest poll of the owner `polled_by`.
+    std::vector<member_id> holders;
+    member_id polled_by;
     std::set<member_id> unacknowledged;
     time_point resend_at;
     milliseconds resend_gap{0};
--- a/packages/admission/src/admission_codec.cc
+++ b/packages/admission/src/admission_codec.cc
@@ -8,7 +8,7 @@
 namespace dotterellead {
 namespace {
 
-constexpr Json::ArrayIndex kMaxServers = 64;
+constexpr Json::ArrayIndex kMaxIds = 64;
 
 [[noreturn]] void Fail(const std::string& field) {
   throw protocol_error("admission message has a bad field " + field,
@@ -35,29 +35,31 @@
   return value.asBool();
 }
 
-Json::Value WriteServers(const std::vector<server_id>& servers) {
+template <class Id>
+Json::Value WriteIds(const std::vector<Id>& ids) {
   Json::Value list(Json::arrayValue);
-  for (const server_id& server : servers)
-    list.append(server.value());
+  for (const Id& id : ids)
+    list.append(id.value());
   return list;
 }
 
-std::vector<server_id> ReadServers(const Json::Value& json) {
-  const Json::Value& list = Member(json, "servers");
-  if (!list.isArray() || list.size() > kMaxServers)
-    Fail("servers");
-  std::vector<server_id> servers;
-  for (const Json::Value& server : list) {
-    if (!server.isString() || server.asString().empty())
-      Fail("servers");
-    servers.emplace_back(server.asString());
+template <class Id>
+std::vector<Id> ReadIds(const Json::Value& json, const char* name) {
+  const Json::Value& list = Member(json, name);
+  if (!list.isArray() || list.size() > kMaxIds)
+    Fail(name);
+  std::vector<Id> ids;
+  for (const Json::Value& id : list) {
+    if (!id.isString() || id.asString().empty())
+      Fail(name);
+    ids.emplace_back(id.asString());
   }
-  return servers;
+  return ids;
 }
 
 void WriteRecord(Json::Value& json, const strike_record& record) {
   json["fingerprint"] = Json::UInt64{record.fingerprint.value()};
-  json["servers"] = WriteServers(record.servers);
+  json["servers"] = WriteIds(record.servers);
   json["age_ms"] = Json::Int64{record.age.count()};
 }
 
@@ -67,7 +69,7 @@
   if (age > std::uint64_t{1} << 40)
     Fail("age_ms");
   return {.fingerprint = request_fingerprint(ReadNumber(json, "fingerprint")),
-          .servers = ReadServers(json),
+          .servers = ReadIds<server_id>(json, "servers"),
           .age = milliseconds(age)};
 }
 
@@ -77,7 +79,7 @@
 
 void Write(Json::Value& json, const peer_strike_acknowledged& m) {
   json["fingerprint"] = Json::UInt64{m.fingerprint.value()};
-  json["servers"] = WriteServers(m.servers);
+  json["servers"] = WriteIds(m.servers);
 }
 
 void Write(Json::Value& json, const run_ask& m) {
@@ -94,6 +96,7 @@
 void Write(Json::Value& json, const run_poll& m) {
   WriteRecord(json, m.record);
   json["round"] = Json::UInt64{m.round};
+  json["holders"] = WriteIds(m.holders);
 }
 
 void Write(Json::Value& json, const run_poll_answer& m) {
@@ -115,7 +118,8 @@
 
 admission_peer_message ReadAcknowledged(const Json::Value& json) {
   return peer_strike_acknowledged{
-      request_fingerprint(ReadNumber(json, "fingerprint")), ReadServers(json)};
+      request_fingerprint(ReadNumber(json, "fingerprint")),
+      ReadIds<server_id>(json, "servers")};
 }
 
 admission_peer_message ReadAsk(const Json::Value& json) {
@@ -128,7 +132,8 @@
 }
 
 admission_peer_message ReadPoll(const Json::Value& json) {
-  return run_poll{ReadRecord(json), ReadNumber(json, "round")};
+  return run_poll{ReadRecord(json), ReadNumber(json, "round"),
+                  ReadIds<member_id>(json, "holders")};
 }
 
 admission_peer_message ReadPollAnswer(const Json::Value& json) {
--- a/packages/admission/src/admission_machine.cc
+++ b/packages/admission/src/admission_machine.cc
@@ -225,7 +225,9 @@
 void admission_machine::step::ResendStrikes(request_fingerprint fp, record& r) {
   if (r.unacknowledged.empty() || now.steady < r.resend_at)
     return;
-  r.resend_gap = std::min(r.resend_gap * 2, kLongestResend);
+  // While a caller waits, a lost message is repeated at once.
+  if (r.crashes.empty())
+    r.resend_gap = std::min(r.resend_gap * 2, kLongestResend);
   r.resend_at = now.steady + r.resend_gap;
   out.emplace_back(
       admission_send{{r.unacknowledged.begin(), r.unacknowledged.end()},
--- a/packages/admission/src/admission_owner.cc
+++ b/packages/admission/src/admission_owner.cc
@@ -56,7 +56,12 @@
   // grant a run beside the present owner's.
   if (r == nullptr || OwnerOf(m.record.fingerprint) != from)
     return;
-  r->answered_round = m.round;
+  // A late copy of an earlier poll must not hide the present holders.
+  if (from != r->polled_by || m.round >= r->answered_round) {
+    r->answered_round = m.round;
+    r->polled_by = from;
+    r->holders = m.holders;
+  }
   Send(from, run_poll_answer{.record = Describe(m.record.fingerprint, *r),
                              .round = m.round,
                              .clear = IsClear(*r),
@@ -160,8 +165,19 @@
   }
   if (to.empty())
     return;
+  r.holders = HoldersOf(r.owner);
   out.emplace_back(
-      admission_send{to, run_poll{Describe(fp, r), r.owner.round}});
+      admission_send{to, run_poll{Describe(fp, r), r.owner.round, r.holders}});
+}
+
+std::vector<member_id> admission_machine::step::HoldersOf(
+    const owner_state& owner) const {
+  std::vector<member_id> holders;
+  if (owner.granted)
+    holders.push_back(owner.granted->member);
+  if (!owner.askers.empty())
+    holders.push_back(owner.askers.front().member);
+  return holders;
 }
 
 void admission_machine::step::TryGrant(request_fingerprint fp) {
@@ -183,8 +199,15 @@
   owner.round = 0;
   owner.granted.reset();
   owner.busy.clear();
-  if (owner.askers.empty())
+  if (owner.askers.empty()) {
+    // The run has ended; tell the peers that nobody holds one.
+    r.holders.clear();
+    if (!machine.peers_.empty()) {
+      out.emplace_back(admission_send{
+          machine.peers_, run_poll{Describe(fp, r), machine.next_number_++}});
+    }
     return;
+  }
   owner.granted = owner.askers.front();
   owner.askers.pop_front();
   owner.busy = {owner.granted->member};
@@ -222,24 +245,35 @@
   Drop(fp);
 }
 
-bool admission_machine::step::ForgetDead(record& r) {
+std::vector<server_id> admission_machine::step::ForgetDead(record& r) {
   const auto is_dead = [this](const member_id& member) {
     return member != machine.self_ &&
            std::ranges::find(machine.peers_, member) == machine.peers_.end();
   };
+  std::vector<server_id> lost;
+  const auto forget = [&](const member_id& member) {
+    if (!is_dead(member))
+      return false;
+    lost.emplace_back("unknown-" + member.value());
+    return true;
+  };
   std::erase_if(r.unacknowledged, is_dead);
-  std::erase_if(r.owner.askers,
-                [&](const asker& a) { return is_dead(a.member); });
-  return std::erase_if(r.owner.busy, is_dead) > 0;
+  std::erase_if(r.holders, forget);
+  std::erase_if(r.owner.busy, forget);
+  // The peers were polled for the former first asker only.
+  if (std::erase_if(r.owner.askers,
+                    [&](const asker& a) { return is_dead(a.member); }) > 0) {
+    r.owner.round = 0;
+  }
+  return lost;
 }
 
 void admission_machine::step::FollowPeers(request_fingerprint fp,
                                           record& r,
                                           const std::set<member_id>& joined) {
-  if (ForgetDead(r)) {
-    // The host died with a run that it may have been about to report.
-    Merge(fp, {server_id("unknown-" + std::to_string(machine.next_number_++))},
-          now.steady);
+  const std::vector<server_id> lost = ForgetDead(r);
+  if (!lost.empty()) {
+    Merge(fp, lost, now.steady);
     TellStrike(fp, r, machine.peers_);
   }
   if (!joined.empty())
@@ -255,6 +289,9 @@
   if (r.pending_ask != 0 && r.asked != owner)
     r.pending_ask = 0;
   SettleCrashes(fp, r);
+  record* left = Find(fp);
+  if (left != nullptr)
+    StartRound(fp, *left);
   if (Find(fp) != nullptr)
     TryGrant(fp);
 }
--- a/packages/admission/src/admission_step.h
+++ b/packages/admission/src/admission_step.h
@@ -73,8 +73,9 @@
   void FollowPeers(request_fingerprint fp,
                    record& r,
                    const std::set<member_id>& joined);
-  // Returns true if a run that a dead host had counts as a crash.
-  bool ForgetDead(record& r);
+  // Removes dead hosts. Returns those that may have had a run.
+  std::vector<server_id> ForgetDead(record& r);
+  std::vector<member_id> HoldersOf(const owner_state& owner) const;
 };
 
 }  // namespace dotterellead
--- a/packages/admission/src/admission_table.cc
+++ b/packages/admission/src/admission_table.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
-#include <thread>
+#include <atomic>
+#include <utility>
 
 #include "dotterellead/admission.h"
 
@@ -20,10 +21,10 @@
       return false;
     ++e.runs;
   }
-  static const std::hash<std::thread::id> kHash;
-  thread_local const std::size_t kOwnShard =
-      kHash(std::this_thread::get_id()) % kShards;
-  pool_shard& shard = pools_[kOwnShard];
+  // Threads take shards in turn.
+  static std::atomic<std::size_t> next_shard{0};
+  thread_local const std::size_t own_shard = next_shard.fetch_add(1) % kShards;
+  pool_shard& shard = pools_[own_shard];
   std::lock_guard lock(shard.mutex);
   ++shard.first_tries[pool];
   return true;
