--- a/packages/measure/include/dotterellead/measure.h
+++ b/packages/measure/include/dotterellead/measure.h
@@ -24,9 +24,9 @@
 // The longest time of one probe. Shorter than the wait of a new home, so that a
 // probe of the former home has ended by then.
 inline constexpr milliseconds kMaxProbeTime{300};
-static_assert(kMaxProbeTime < kProbeInterval);
 // A probe without an outcome this long after its time limit is given up.
 inline constexpr milliseconds kProbeOutcomeMargin{200};
+static_assert(kMaxProbeTime + kProbeOutcomeMargin < kProbeInterval);
 inline constexpr milliseconds kMeasureTick{50};
 
 }  // namespace limits
