--- a/packages/metrics/src/metrics.cc
+++ b/packages/metrics/src/metrics.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <mutex>
 #include <set>
-#include <thread>
 #include <unordered_map>
 
 #include "metric_totals.h"
@@ -16,9 +16,10 @@
 constexpr char kOther[] = "other";
 
 std::size_t OwnShard() {
-  thread_local const std::size_t kOwn =
-      std::hash<std::thread::id>()(std::this_thread::get_id()) % kShards;
-  return kOwn;
+  // Threads take shards in turn.
+  static std::atomic<std::size_t> next_shard{0};
+  thread_local const std::size_t own = next_shard.fetch_add(1) % kShards;
+  return own;
 }
 
 // Labels by reference, to look a class up without copies.
@@ -277,7 +278,7 @@
 
 byte_count request_metrics::BytesPerClass() {
   constexpr std::size_t kCounts =
-      2 * (kLatencyBuckets + 2) * sizeof(std::uint64_t);
+      std::size_t{2} * (kLatencyBuckets + 2) * sizeof(std::uint64_t);
   return {kShards * (sizeof(metric_labels) + sizeof(class_series) + kCounts)};
 }
 
