--- a/apps/dotterellead/entry_host.cc
+++ b/apps/dotterellead/entry_host.cc
@@ -110,8 +110,13 @@
                  clock_,
                  kBalanceTick,
                  [this](balance_machine::effect& e) {
-                   std::visit([this](auto& answer) { slots_.Deliver(answer); },
-                              e);
+                   std::visit(
+                       overloaded{
+                           [this](assigned& answer) { slots_.Deliver(answer); },
+                           [this](refused& answer) { slots_.Deliver(answer); },
+                           [](auto&) {},
+                       },
+                       e);
                  }),
         flow_({slots_, claims_, admission_, versions_, transport_, observer_,
                clock_, [this] { return config_; }}),
