Lend slots to holders through homes with leases

Slots were local to one host. Each server now has a home that lends its slots; holders ask, renew, return and give back recalled slots. Not yet tested under faults.

--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -1,11 +1,31 @@
 #include <algorithm>
+#include <array>
 
-#include "dotterellead/balance.h"
+#include "directory.h"
+#include "holder_role.h"
+#include "home_role.h"
 
 namespace dotterellead {
 namespace {
 
-constexpr double kLatencyWeight = 0.2;
+constexpr milliseconds kReportInterval{1'000};
+// Messages that a host may send itself in one step. Guards against an endless
+// exchange between its two roles.
+constexpr int kMaxOwnMessages = 10'000;
+
+idle_reason ReasonOf(const server_state& s, const server_balance& counts) {
+  if (s.out)
+    return idle_reason::kDataCentreOut;
+  if (s.draining)
+    return idle_reason::kDraining;
+  if (!s.home.is_valid())
+    return idle_reason::kNoHome;
+  if (counts.in_use > 0 && counts.idle == 0)
+    return idle_reason::kAllInUse;
+  if (counts.held == 0)
+    return s.is_doubtful() ? idle_reason::kCold : idle_reason::kNoLease;
+  return idle_reason::kNone;
+}
 
 }  // namespace
 
@@ -23,140 +43,191 @@
   return "unknown-pool";
 }
 
-void balance_machine::Step(const message& m,
-                           const moment& now,
-                           std::vector<effect>& out) {
-  std::visit([&](const auto& alternative) { On(alternative, now, out); }, m);
+std::string_view to_string(idle_reason reason) {
+  switch (reason) {
+    case idle_reason::kNone:
+      return "none";
+    case idle_reason::kDataCentreOut:
+      return "data-centre-out";
+    case idle_reason::kDraining:
+      return "draining";
+    case idle_reason::kNoHome:
+      return "no-home";
+    case idle_reason::kCold:
+      return "cold";
+    case idle_reason::kAllInUse:
+      return "all-in-use";
+    case idle_reason::kNoLease:
+      return "no-lease";
+  }
+  return "none";
 }
 
-void balance_machine::On(const acquire& m,
-                         const moment& now,
-                         std::vector<effect>& out) {
-  const auto it = pools_.find(m.pool);
-  if (it == pools_.end()) {
-    out.emplace_back(refused{m.request, refusal_reason::kUnknownPool});
-    return;
+class balance_machine::impl {
+ public:
+  explicit impl(const balance_options& options)
+      : servers_(options), holder_(servers_) {}
+
+  void Step(const message& m, const moment& now, std::vector<effect>& out) {
+    step_context step{now.steady, outbox_, out};
+    if (!home_)
+      home_.emplace(servers_, step.now);
+    std::visit([&](const auto& alternative) { On(alternative, step); }, m);
+    Deliver(step);
   }
-  pool_state& pool = it->second;
-  if (pool.waiting.empty() && TryAssign(pool, m, now, out))
-    return;
-  if (pool.waiting.size() >= pool.queue_length) {
-    out.emplace_back(refused{m.request, refusal_reason::kQueueFull});
-    return;
+
+ private:
+  void On(const acquire& m, step_context& step) { holder_.On(m, step); }
+  void On(const withdraw& m, step_context& step) { holder_.On(m, step); }
+  void On(const release& m, step_context& step) { holder_.On(m, step); }
+
+  void On(const config_changed& m, step_context& step) {
+    servers_.SetConfig(*m.config, step.now);
+    home_->OnConfig(step);
+    holder_.OnDirectoryChanged(step);
   }
-  pool.waiting.push_back(m);
-}
 
-void balance_machine::On(const withdraw& m,
-                         const moment& now,
-                         std::vector<effect>& out) {
-  for (auto& [name, pool] : pools_) {
-    std::erase_if(pool.waiting, [&](const acquire& waiting) {
-      return waiting.request == m.request;
-    });
+  void On(const homes_changed& m, step_context& step) {
+    const epoch_number before = servers_.epoch();
+    if (!servers_.SetHomes(m))
+      return;
+    home_->OnHomes(before, step);
+    holder_.OnDirectoryChanged(step);
   }
-  On(release{.request = m.request, .result = attempt_result::kNotSent}, now,
-     out);
-}
 
-void balance_machine::On(const release& m,
-                         const moment& now,
-                         std::vector<effect>& out) {
-  const auto used = in_use_.find(m.request);
-  if (used == in_use_.end())
-    return;
-  const assignment where = used->second;
-  in_use_.erase(used);
-  const auto pool = pools_.find(where.pool);
-  if (pool == pools_.end())
-    return;
-  const auto server = pool->second.servers.find(where.server);
-  if (server == pool->second.servers.end())
-    return;
-  server_state& state = server->second;
-  if (where.slot < state.slots.size())
-    state.slots[where.slot].user = request_id();
-  if (m.result == attempt_result::kAnswered) {
-    state.latency_us +=
-        kLatencyWeight *
-        (static_cast<double>(m.latency.count()) - state.latency_us);
+  void On(const home_right_changed& m, step_context& step) {
+    home_->OnRight(m, step);
   }
-  state.cold = m.cold.value_or(state.cold);
-  state.draining = m.draining;
-  ServeWaiting(pool->second, now, out);
-}
 
-void balance_machine::On(const config_changed& m,
-                         const moment& now,
-                         std::vector<effect>& out) {
-  config_ = m.config;
-  for (const auto& [name, stored_pool] : config_->pools) {
-    pool_state& pool = pools_[name];
-    pool.max_run = stored_pool.spec.max_run;
-    pool.queue_length = stored_pool.spec.queue_length;
-    for (const server_spec& spec : stored_pool.spec.servers) {
-      server_state& server = pool.servers[spec.address];
-      server.spec = spec;
-      server.slots.resize(spec.slots);
-    }
-    ServeWaiting(pool, now, out);
+  void On(const load_report& m, step_context& step) {
+    servers_.Learn(m, step.now);
   }
-}
 
-void balance_machine::On(const tick&,
-                         const moment& now,
-                         std::vector<effect>& out) {
-  for (auto& [name, pool] : pools_) {
-    std::erase_if(pool.waiting, [&](const acquire& waiting) {
-      if (waiting.deadline > now.steady)
-        return false;
-      out.emplace_back(refused{waiting.request, refusal_reason::kDeadline});
-      return true;
-    });
+  void On(const server_suspected& m, step_context& step) {
+    servers_.Suspect(m.server, step.now);
   }
-}
 
-bool balance_machine::TryAssign(pool_state& pool,
-                                const acquire& m,
-                                const moment& now,
-                                std::vector<effect>& out) {
-  server_state* best = nullptr;
-  std::size_t best_slot = 0;
-  for (auto& [id, server] : pool.servers) {
-    if (server.draining || config_->IsOut(server.spec.data_centre) ||
-        (m.version.is_valid() && server.spec.version != m.version) ||
-        std::find(m.excluded.begin(), m.excluded.end(), id) !=
-            m.excluded.end()) {
-      continue;
-    }
-    const std::size_t usable =
-        server.cold ? server.spec.cold_slots : server.slots.size();
-    for (std::size_t i = 0; i < usable; ++i) {
-      if (server.slots[i].user.is_valid())
-        continue;
-      if (best == nullptr || server.latency_us < best->latency_us) {
-        best = &server;
-        best_slot = i;
+  void On(const balance_received& m, step_context& step) {
+    Dispatch(m.from, m.body, step);
+  }
+
+  void On(const tick&, step_context& step) {
+    holder_.OnTick(step);
+    home_->OnTick(step);
+    if (step.now >= next_report_)
+      Report(step);
+  }
+
+  void Dispatch(const member_id& from,
+                const balance_peer_message& body,
+                step_context& step) {
+    std::visit(
+        overloaded{
+            [&](const slot_request& m) { home_->On(from, m, step); },
+            [&](const slot_return& m) { home_->On(from, m, step); },
+            [&](const renewal& m) { home_->On(from, m, step); },
+            [&](const handover_offer& m) { home_->On(from, m, step); },
+            [&](const handover_accept& m) { home_->On(from, m, step); },
+            [&](const handover& m) { home_->On(from, m, step); },
+            [&](const slot_grant& m) { holder_.On(from, m, step); },
+            [&](const slot_recall& m) { holder_.On(from, m, step); },
+            [&](const renewed& m) { holder_.On(from, m, step); },
+            [&](const server_news& m) {
+              servers_.LearnFromHolder(from, m, step);
+            },
+            [&](const server_notice& m) { LearnNotice(from, m, step); },
+        },
+        body);
+  }
+
+  void LearnNotice(const member_id& from,
+                   const server_notice& m,
+                   step_context& step) {
+    const server_state* s = servers_.Find(m.server);
+    if (s == nullptr || s->home != from)
+      return;
+    servers_.LearnFromHome(m, step.now, step.now);
+    // Idle slots that the server must not be sent work on go back at once.
+    holder_.OnServersChanged(step);
+  }
+
+  // Sends what this step found out and decided. Messages to the host itself
+  // are handled here, in order.
+  void Deliver(step_context& step) {
+    for (int handled = 0; handled < kMaxOwnMessages; ++handled) {
+      for (const server_id& id : servers_.Publish(step))
+        home_->OnServerChanged(id, step);
+      holder_.SendReturns(step);
+      if (outbox_.empty())
+        return;
+      std::vector<send_to_peer> messages;
+      messages.swap(outbox_);
+      for (send_to_peer& message : messages) {
+        if (message.to == servers_.options().self) {
+          Dispatch(message.to, message.body, step);
+          continue;
+        }
+        ++peer_messages_sent_;
+        step.effects.emplace_back(std::move(message));
       }
-      break;
     }
   }
-  if (best == nullptr)
-    return false;
-  best->slots[best_slot].user = m.request;
-  in_use_[m.request] = {m.pool, best->spec.address, best_slot};
-  out.emplace_back(assigned{
-      m.request, best->spec.address, slot_index(best_slot), best->spec.version,
-      now.steady + limits::kLeaseTimeToLive, pool.max_run});
-  return true;
-}
 
-void balance_machine::ServeWaiting(pool_state& pool,
-                                   const moment& now,
-                                   std::vector<effect>& out) {
-  std::erase_if(pool.waiting, [&](const acquire& waiting) {
-    return TryAssign(pool, waiting, now, out);
-  });
+  void Report(step_context& step) {
+    next_report_ = step.now + kReportInterval;
+    servers_.Fade();
+    balance_report report{.epoch = servers_.epoch()};
+    for (const auto& [id, s] : servers_.servers())
+      report.servers.push_back(Describe(id, s, step.now));
+    for (const auto& [name, info] : servers_.pools())
+      report.pools.push_back({name, holder_.Waiting(name)});
+    report.peer_messages_sent = peer_messages_sent_;
+    report.leases_expired = holder_.leases_expired();
+    report.slots_reclaimed = home_->slots_reclaimed();
+    step.effects.emplace_back(std::move(report));
+  }
+
+  server_balance Describe(const server_id& id,
+                          const server_state& s,
+                          time_point now) const {
+    server_balance b{.server = id,
+                     .pool = s.pool,
+                     .home = s.home,
+                     .slots = s.spec.slots,
+                     .cold_slots = s.spec.cold_slots,
+                     .cold = s.cold,
+                     .suspect = s.suspect,
+                     .draining = s.draining,
+                     .latency =
+                         microseconds(static_cast<std::int64_t>(s.latency_us))};
+    holder_.Count(id, b);
+    b.reason = ReasonOf(s, b);
+    if (servers_.IsHome(s)) {
+      b.lending = home_->IsLending(id, now);
+      b.lent = home_->Lent(id);
+    }
+    return b;
+  }
+
+  directory servers_;
+  holder_role holder_;
+  std::optional<home_role> home_;
+  std::vector<send_to_peer> outbox_;
+  time_point next_report_;
+  std::uint64_t peer_messages_sent_ = 0;
+};
+
+balance_machine::balance_machine(balance_options options)
+    : impl_(std::make_unique<impl>(options)) {}
+balance_machine::~balance_machine() = default;
+balance_machine::balance_machine(balance_machine&&) noexcept = default;
+balance_machine& balance_machine::operator=(balance_machine&&) noexcept =
+    default;
+
+void balance_machine::Step(const message& m,
+                           const moment& now,
+                           std::vector<effect>& out) {
+  impl_->Step(m, now, out);
 }
 
 }  // namespace dotterellead
--- /dev/null
+++ b/packages/balance/src/holder_role.cc
@@ -0,0 +1,274 @@
+#include "holder_role.h"
+
+#include <algorithm>
+
+namespace dotterellead {
+namespace {
+
+// A lease that ends sooner than this is not assigned: the request would not
+// reach the server in time.
+constexpr milliseconds kLeastLeaseLeft{20};
+// Time for a server to notice that a request was cancelled or cut.
+constexpr milliseconds kCancelSettle{20};
+// A use whose release never came ends this long after the server must have
+// ended the run.
+constexpr milliseconds kReleaseMargin{1'000};
+
+bool MayStillRun(attempt_result result) {
+  return result == attempt_result::kCancelled ||
+         result == attempt_result::kCut ||
+         result == attempt_result::kTimedOut;
+}
+
+}  // namespace
+
+holder_role::holder_role(directory& servers)
+    : servers_(servers),
+      policy_(MakeChoicePolicy(servers.options().policy,
+                               servers.options().seed)) {}
+
+void holder_role::On(const acquire& m, step_context& step) {
+  const pool_info* info = servers_.FindPool(m.pool);
+  if (info == nullptr)
+    return Refuse(m, refusal_reason::kUnknownPool, step);
+  if (m.deadline <= step.now)
+    return Refuse(m, refusal_reason::kDeadline, step);
+  if (!HasEligibleServer(m))
+    return Refuse(m, refusal_reason::kNoServers, step);
+  pool_state& pool = pools_[m.pool];
+  if (pool.queue.empty() && TryAssign(m, step))
+    return;
+  // Asking for a slot takes a message even if no request waits, so a queue
+  // holds one at least.
+  const std::size_t capacity = std::max<std::size_t>(info->queue_length, 1);
+  if (const std::optional<acquire> dropped = pool.queue.Add(m, capacity))
+    Refuse(*dropped, refusal_reason::kQueueFull, step);
+  ServeWaiting(m.pool, step);
+}
+
+void holder_role::On(const withdraw& m, step_context& step) {
+  for (auto& [name, pool] : pools_) {
+    pool.queue.RemoveIf(
+        [&](const acquire& waiting) { return waiting.request == m.request; });
+  }
+  On(release{.request = m.request, .result = attempt_result::kNotSent}, step);
+}
+
+void holder_role::On(const release& m, step_context& step) {
+  const auto it = in_use_.find(m.request);
+  if (it == in_use_.end())
+    return;
+  const use used = it->second;
+  if (m.result != attempt_result::kNotSent)
+    servers_.Learn(used.server, m, used.assigned_at, step.now);
+  EndUse(m, step);
+  ServeWaiting(used.pool, step);
+}
+
+void holder_role::EndUse(const release& m, step_context& step) {
+  const auto it = in_use_.find(m.request);
+  const use used = it->second;
+  in_use_.erase(it);
+  if (server_state* s = servers_.Find(used.server))
+    s->own_in_flight -= std::min(s->own_in_flight, 1U);
+  held_lease* lease = FindLease({used.server, used.slot, used.serial});
+  if (lease == nullptr)
+    return;
+  lease->user = request_id();
+  lease->idle_since = step.now;
+  lease->usable_from =
+      MayStillRun(m.result) ? step.now + kCancelSettle : step.now;
+  if (ReviewLease(used.server, used.slot, *lease, step.now))
+    leases_[used.server].erase(used.slot);
+}
+
+// Guards against a caller thread that never gives its slot back.
+void holder_role::EndOverdueUses(step_context& step) {
+  std::vector<request_id> overdue;
+  for (const auto& [request, used] : in_use_) {
+    if (step.now >= used.ends_before + kReleaseMargin)
+      overdue.push_back(request);
+  }
+  for (const request_id request : overdue)
+    EndUse({.request = request, .result = attempt_result::kNotSent}, step);
+}
+
+void holder_role::OnDirectoryChanged(step_context& step) {
+  // What homes answered holds no longer if servers have other homes.
+  for (auto& [name, pool] : pools_)
+    pool.asks.clear();
+  OnServersChanged(step);
+  std::erase_if(pools_, [&](const auto& entry) {
+    return servers_.FindPool(entry.first) == nullptr;
+  });
+}
+
+void holder_role::OnServersChanged(step_context& step) {
+  Review(step.now);
+  for (auto& [name, pool] : pools_)
+    RefuseHopeless(pool, step);
+  for (const auto& [name, info] : servers_.pools())
+    ServeWaiting(name, step);
+}
+
+void holder_role::RefuseHopeless(pool_state& pool, step_context& step) {
+  pool.queue.RemoveIf([&](const acquire& m) {
+    const bool known = servers_.FindPool(m.pool) != nullptr;
+    if (known && HasEligibleServer(m))
+      return false;
+    Refuse(m,
+           known ? refusal_reason::kNoServers : refusal_reason::kUnknownPool,
+           step);
+    return true;
+  });
+}
+
+void holder_role::OnTick(step_context& step) {
+  EndOverdueUses(step);
+  Review(step.now);
+  for (auto& [name, pool] : pools_) {
+    pool.queue.RemoveIf([&](const acquire& m) {
+      if (m.deadline > step.now)
+        return false;
+      Refuse(m, refusal_reason::kDeadline, step);
+      return true;
+    });
+    ServeWaiting(name, step);
+  }
+  ForgetSent(step.now);
+  if (policy_->uses_leases() && step.now >= next_renewal_)
+    Renew(step);
+}
+
+// ---- Assignment
+
+bool holder_role::HasEligibleServer(const acquire& m) const {
+  const pool_info* pool = servers_.FindPool(m.pool);
+  return std::any_of(
+      pool->servers.begin(), pool->servers.end(), [&](const server_id& id) {
+        const server_state& s = *servers_.Find(id);
+        return s.takes_work() &&
+               (!m.version.is_valid() || s.spec.version == m.version) &&
+               std::find(m.excluded.begin(), m.excluded.end(), id) ==
+                   m.excluded.end();
+      });
+}
+
+bool holder_role::IsUsable(const held_lease& lease, time_point now) {
+  return !lease.user.is_valid() && !lease.lost && !lease.must_return &&
+         lease.usable_from <= now && lease.expiry > now + kLeastLeaseLeft;
+}
+
+const holder_role::held_lease* holder_role::FindIdle(const server_id& server,
+                                                     time_point now) const {
+  const auto it = leases_.find(server);
+  if (it == leases_.end())
+    return nullptr;
+  const server_state& s = *servers_.Find(server);
+  for (const auto& [slot, lease] : it->second) {
+    if (slot.value() >= s.usable_slots())
+      return nullptr;
+    if (IsUsable(lease, now))
+      return &lease;
+  }
+  return nullptr;
+}
+
+std::vector<choice_candidate> holder_role::Candidates(const acquire& m,
+                                                      time_point now) const {
+  std::vector<choice_candidate> candidates;
+  const pool_info* pool = servers_.FindPool(m.pool);
+  if (pool == nullptr)
+    return candidates;
+  for (const server_id& id : pool->servers) {
+    const server_state& s = *servers_.Find(id);
+    if (!s.takes_work() ||
+        (m.version.is_valid() && s.spec.version != m.version) ||
+        std::find(m.excluded.begin(), m.excluded.end(), id) !=
+            m.excluded.end() ||
+        (policy_->uses_leases() && FindIdle(id, now) == nullptr)) {
+      continue;
+    }
+    candidates.push_back(
+        {.server = id,
+         .own_data_centre =
+             s.spec.data_centre == servers_.options().data_centre,
+         .slots = s.spec.slots,
+         .cost_us = s.cost_us(),
+         .own_in_flight = s.own_in_flight,
+         .reported_in_flight = s.reported_in_flight});
+  }
+  return candidates;
+}
+
+bool holder_role::TryAssign(const acquire& m, step_context& step) {
+  const std::vector<choice_candidate> candidates = Candidates(m, step.now);
+  if (candidates.empty())
+    return false;
+  Assign(m, candidates[policy_->Choose(candidates)].server, step);
+  return true;
+}
+
+void holder_role::Assign(const acquire& m,
+                         const server_id& server,
+                         step_context& step) {
+  server_state& s = *servers_.Find(server);
+  assigned a{.request = m.request,
+             .server = server,
+             .slot = slot_index(s.own_in_flight),
+             .version = s.spec.version,
+             .send_before = step.now + limits::kLeaseTimeToLive,
+             .max_run = servers_.FindPool(m.pool)->max_run};
+  std::uint64_t serial = 0;
+  if (policy_->uses_leases()) {
+    for (auto& [slot, lease] : leases_[server]) {
+      if (!IsUsable(lease, step.now))
+        continue;
+      lease.user = m.request;
+      a.slot = slot;
+      a.send_before = lease.expiry;
+      a.max_run = lease.max_run;
+      serial = lease.serial;
+      break;
+    }
+  }
+  ++s.own_in_flight;
+  in_use_[m.request] = {m.pool,   server,   a.slot,
+                        serial,   step.now, a.send_before + a.max_run};
+  step.effects.emplace_back(std::move(a));
+}
+
+void holder_role::ServeWaiting(const pool_id& name, step_context& step) {
+  pool_state& pool = pools_[name];
+  if (pool.queue.empty())
+    return;
+  pool.queue.Serve([&](const acquire& m) { return TryAssign(m, step); });
+  Ask(name, step);
+}
+
+void holder_role::Refuse(const acquire& m,
+                         refusal_reason reason,
+                         step_context& step) {
+  step.effects.emplace_back(refused{m.request, reason});
+}
+
+void holder_role::Count(const server_id& server, server_balance& counts) const {
+  const auto it = leases_.find(server);
+  if (it != leases_.end()) {
+    for (const auto& [slot, lease] : it->second) {
+      ++counts.held;
+      counts.idle += lease.user.is_valid() ? 0 : 1;
+    }
+  }
+  if (const server_state* s = servers_.Find(server))
+    counts.in_use = s->own_in_flight;
+}
+
+std::uint32_t holder_role::Waiting(const pool_id& pool) const {
+  const auto it = pools_.find(pool);
+  return it == pools_.end()
+             ? 0
+             : static_cast<std::uint32_t>(it->second.queue.size());
+}
+
+}  // namespace dotterellead
--- /dev/null
+++ b/packages/balance/src/wait_queue.h
@@ -0,0 +1,43 @@
+// Requests that wait for a slot of one pool.
+#ifndef DOTTERELLEAD_SRC_WAIT_QUEUE_H_
+#define DOTTERELLEAD_SRC_WAIT_QUEUE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "dotterellead/balance.h"
+
+namespace dotterellead {
+
+// Bounded and fair: tenants are served in turn, and a full queue drops the
+// newest request of the tenant that has most.
+class wait_queue {
+ public:
+  // Adds a request. Returns the request that has no room, if any.
+  std::optional<acquire> Add(const acquire& m, std::size_t capacity);
+  // Offers requests to `take`, tenants in turn and oldest first, until it has
+  // taken none in a whole turn.
+  void Serve(const std::function<bool(const acquire&)>& take);
+  // Removes requests that match.
+  void RemoveIf(const std::function<bool(const acquire&)>& matches);
+  // Number of waiting requests for each wanted version.
+  std::map<version_id, std::uint32_t> CountByVersion() const;
+  std::size_t size() const { return size_; }
+  bool empty() const { return size_ == 0; }
+
+ private:
+  bool ServeOne(std::deque<acquire>& waiting,
+                const std::function<bool(const acquire&)>& take);
+  std::map<tenant_id, std::deque<acquire>>::iterator Longest();
+
+  std::map<tenant_id, std::deque<acquire>> tenants_;
+  // The tenant served last.
+  tenant_id last_;
+  std::size_t size_ = 0;
+};
+
+}  // namespace dotterellead
+
+#endif  // DOTTERELLEAD_SRC_WAIT_QUEUE_H_
