--- a/packages/balance/src/balance_codec.cc
+++ b/packages/balance/src/balance_codec.cc
@@ -59,9 +59,8 @@
 struct layout<lease_table> {
   static constexpr std::string_view kKeys = "";
   static constexpr std::tuple kMembers{
-      &lease_table::server,   &lease_table::next_serial,
-      &lease_table::cold,     &lease_table::draining,
-      &lease_table::state_serial, &lease_table::lent};
+      &lease_table::server,   &lease_table::next_serial,  &lease_table::cold,
+      &lease_table::draining, &lease_table::state_serial, &lease_table::lent};
 };
 template <>
 struct layout<slot_request> {
@@ -132,9 +131,8 @@
 template <>
 struct layout<handover> {
   static constexpr std::string_view kKeys = "eib";
-  static constexpr std::tuple kMembers{&handover::epoch,
-                                       &handover::to_incarnation,
-                                       &handover::tables};
+  static constexpr std::tuple kMembers{
+      &handover::epoch, &handover::to_incarnation, &handover::tables};
 };
 
 // Type tags, in the order of the variant.
--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -121,23 +121,22 @@
   void Dispatch(const member_id& from,
                 const balance_peer_message& body,
                 step_context& step) {
-    std::visit(
-        overloaded{
-            [&](const slot_request& m) { home_->On(from, m, step); },
-            [&](const slot_return& m) { home_->On(from, m, step); },
-            [&](const renewal& m) { home_->On(from, m, step); },
-            [&](const handover_offer& m) { home_->On(from, m, step); },
-            [&](const handover_accept& m) { home_->On(from, m, step); },
-            [&](const handover& m) { home_->On(from, m, step); },
-            [&](const slot_grant& m) { holder_.On(from, m, step); },
-            [&](const slot_recall& m) { holder_.On(from, m, step); },
-            [&](const renewed& m) { holder_.On(from, m, step); },
-            [&](const server_news& m) {
-              servers_.LearnFromHolder(from, m, step);
-            },
-            [&](const server_notice& m) { LearnNotice(from, m, step); },
-        },
-        body);
+    std::visit(overloaded{
+                   [&](const slot_request& m) { home_->On(from, m, step); },
+                   [&](const slot_return& m) { home_->On(from, m, step); },
+                   [&](const renewal& m) { home_->On(from, m, step); },
+                   [&](const handover_offer& m) { home_->On(from, m, step); },
+                   [&](const handover_accept& m) { home_->On(from, m, step); },
+                   [&](const handover& m) { home_->On(from, m, step); },
+                   [&](const slot_grant& m) { holder_.On(from, m, step); },
+                   [&](const slot_recall& m) { holder_.On(from, m, step); },
+                   [&](const renewed& m) { holder_.On(from, m, step); },
+                   [&](const server_news& m) {
+                     servers_.LearnFromHolder(from, m, step);
+                   },
+                   [&](const server_notice& m) { LearnNotice(from, m, step); },
+               },
+               body);
   }
 
   void LearnNotice(const member_id& from,
@@ -190,16 +189,16 @@
   server_balance Describe(const server_id& id,
                           const server_state& s,
                           time_point now) const {
-    server_balance b{.server = id,
-                     .pool = s.pool,
-                     .home = s.home,
-                     .slots = s.spec.slots,
-                     .cold_slots = s.spec.cold_slots,
-                     .cold = s.cold,
-                     .suspect = s.suspect,
-                     .draining = s.draining,
-                     .latency =
-                         microseconds(static_cast<std::int64_t>(s.latency_us))};
+    server_balance b{
+        .server = id,
+        .pool = s.pool,
+        .home = s.home,
+        .slots = s.spec.slots,
+        .cold_slots = s.spec.cold_slots,
+        .cold = s.cold,
+        .suspect = s.suspect,
+        .draining = s.draining,
+        .latency = microseconds(static_cast<std::int64_t>(s.latency_us))};
     holder_.Count(id, b);
     b.reason = ReasonOf(s, b);
     if (servers_.IsHome(s)) {
--- a/packages/balance/src/directory.cc
+++ b/packages/balance/src/directory.cc
@@ -54,9 +54,9 @@
   const home_candidate* best = nullptr;
   std::tuple<bool, std::uint64_t, member_id> best_rank;
   for (const home_candidate& member : members) {
-    std::tuple rank(
-        member.data_centre == data_centre,
-        StableHash(member.id.value() + "/" + server.value()), member.id);
+    std::tuple rank(member.data_centre == data_centre,
+                    StableHash(member.id.value() + "/" + server.value()),
+                    member.id);
     if (best != nullptr && rank < best_rank)
       continue;
     best = &member;
@@ -228,8 +228,8 @@
   if (m.result == attempt_result::kCancelled)
     return;
   const double latency = static_cast<double>(m.latency.count());
-  const bool slow = s.latency_us > 0 &&
-                    latency > kSlowFactor * s.latency_us + kSlowFloorUs;
+  const bool slow =
+      s.latency_us > 0 && latency > kSlowFactor * s.latency_us + kSlowFloorUs;
   s.slow_answers = slow || timed_out ? s.slow_answers + 1 : 0;
   if (s.slow_answers == kSlowAnswersToDoubt)
     Suspect(id, now);
--- a/packages/balance/src/holder_leases.cc
+++ b/packages/balance/src/holder_leases.cc
@@ -57,8 +57,7 @@
     return true;
   if (lease.recalled) {
     const auto pool = pools_.find(s->pool);
-    const bool is_needed =
-        pool != pools_.end() && !pool->second.queue.empty();
+    const bool is_needed = pool != pools_.end() && !pool->second.queue.empty();
     if (!is_needed || Held(s->pool) >= lease.needy_held + 2)
       return true;
   }
@@ -242,8 +241,8 @@
                    .idle_since = step.now,
                    .usable_from = step.now};
   const server_state* s = servers_.Find(ref.server);
-  const bool is_surplus =
-      s != nullptr && pools_[s->pool].queue.empty() && HasIdle(s->pool, step.now);
+  const bool is_surplus = s != nullptr && pools_[s->pool].queue.empty() &&
+                          HasIdle(s->pool, step.now);
   if (is_surplus || MustReturn(ref.server, ref.slot, lease, step.now)) {
     Return(ref.server, ref.slot, ref.serial);
     return false;
@@ -302,9 +301,9 @@
         [&](const server_state_serial& c) { return c.server == ref.server; });
     const bool is_cold = cold != m.cold.end();
     if (s->home == from && !s->draining) {
-      servers_.LearnFromHome({ref.server, is_cold, false,
-                              is_cold ? cold->serial : s->serial},
-                             sent->at, step.now);
+      servers_.LearnFromHome(
+          {ref.server, is_cold, false, is_cold ? cold->serial : s->serial},
+          sent->at, step.now);
     }
   }
   for (const spare_slots& spare : m.spare) {
--- a/packages/balance/src/holder_role.cc
+++ b/packages/balance/src/holder_role.cc
@@ -16,16 +16,15 @@
 
 bool MayStillRun(attempt_result result) {
   return result == attempt_result::kCancelled ||
-         result == attempt_result::kCut ||
-         result == attempt_result::kTimedOut;
+         result == attempt_result::kCut || result == attempt_result::kTimedOut;
 }
 
 }  // namespace
 
 holder_role::holder_role(directory& servers)
     : servers_(servers),
-      policy_(MakeChoicePolicy(servers.options().policy,
-                               servers.options().seed)) {}
+      policy_(
+          MakeChoicePolicy(servers.options().policy, servers.options().seed)) {}
 
 void holder_role::On(const acquire& m, step_context& step) {
   const pool_info* info = servers_.FindPool(m.pool);
@@ -116,8 +115,7 @@
     const bool known = servers_.FindPool(m.pool) != nullptr;
     if (known && HasEligibleServer(m))
       return false;
-    Refuse(m,
-           known ? refusal_reason::kNoServers : refusal_reason::kUnknownPool,
+    Refuse(m, known ? refusal_reason::kNoServers : refusal_reason::kUnknownPool,
            step);
     return true;
   });
@@ -189,14 +187,13 @@
         (policy_->uses_leases() && FindIdle(id, now) == nullptr)) {
       continue;
     }
-    candidates.push_back(
-        {.server = id,
-         .own_data_centre =
-             s.spec.data_centre == servers_.options().data_centre,
-         .slots = s.spec.slots,
-         .cost_us = s.cost_us(),
-         .own_in_flight = s.own_in_flight,
-         .reported_in_flight = s.reported_in_flight});
+    candidates.push_back({.server = id,
+                          .own_data_centre = s.spec.data_centre ==
+                                             servers_.options().data_centre,
+                          .slots = s.spec.slots,
+                          .cost_us = s.cost_us(),
+                          .own_in_flight = s.own_in_flight,
+                          .reported_in_flight = s.reported_in_flight});
   }
   return candidates;
 }
@@ -233,8 +230,8 @@
     }
   }
   ++s.own_in_flight;
-  in_use_[m.request] = {m.pool,   server,   a.slot,
-                        serial,   step.now, a.send_before + a.max_run};
+  in_use_[m.request] = {m.pool, server,   a.slot,
+                        serial, step.now, a.send_before + a.max_run};
   step.effects.emplace_back(std::move(a));
 }
 
@@ -242,7 +239,14 @@
   pool_state& pool = pools_[name];
   if (pool.queue.empty())
     return;
-  pool.queue.Serve([&](const acquire& m) { return TryAssign(m, step); });
+  // A long queue is not searched when there is nothing to assign.
+  bool has_idle = HasIdle(name, step.now);
+  pool.queue.Serve([&](const acquire& m) {
+    if (!has_idle || !TryAssign(m, step))
+      return false;
+    has_idle = HasIdle(name, step.now);
+    return true;
+  });
   Ask(name, step);
 }
 
--- a/packages/balance/src/home_role.cc
+++ b/packages/balance/src/home_role.cc
@@ -68,9 +68,9 @@
     const server_state* s = servers_.Find(it->first);
     const bool moved = s != nullptr && !servers_.IsHome(*s);
     const bool unused =
-        s == nullptr && std::none_of(it->second.slots.begin(),
-                                     it->second.slots.end(),
-                                     [](const auto& e) { return !!e; });
+        s == nullptr &&
+        std::none_of(it->second.slots.begin(), it->second.slots.end(),
+                     [](const auto& e) { return !!e; });
     it = moved || unused ? tables_.erase(it) : std::next(it);
   }
   for (const auto& [id, s] : servers_.servers()) {
@@ -80,8 +80,8 @@
     if (s.home_moved_at) {
       const time_point lent_until =
           *s.home_moved_at + kConfigSpread + limits::kLeaseTimeToLive;
-      t.not_before = ReclaimTime(lent_until,
-                                 servers_.FindPool(s.pool)->longest_max_run);
+      t.not_before =
+          ReclaimTime(lent_until, servers_.FindPool(s.pool)->longest_max_run);
     }
     TryOwn(id, t, step.now);
     RecallUnsafe(id, step);
@@ -89,8 +89,8 @@
 }
 
 void home_role::OnHomes(epoch_number before, step_context& step) {
-  const bool is_next =
-      before.is_valid() && before.next() == servers_.epoch() && MayLend(step.now);
+  const bool is_next = before.is_valid() && before.next() == servers_.epoch() &&
+                       MayLend(step.now);
   const time_point right_ends = std::exchange(lend_before_, time_point());
   earlier_homes_end_.reset();
   departing_.clear();
@@ -134,10 +134,9 @@
 std::uint32_t home_role::CountFree(const table& t, const server_state& s) {
   const std::size_t usable =
       std::min<std::size_t>(s.usable_slots(), t.slots.size());
-  return static_cast<std::uint32_t>(
-      std::count(t.slots.begin(),
-                 t.slots.begin() + static_cast<std::ptrdiff_t>(usable),
-                 std::nullopt));
+  return static_cast<std::uint32_t>(std::count(
+      t.slots.begin(), t.slots.begin() + static_cast<std::ptrdiff_t>(usable),
+      std::nullopt));
 }
 
 std::uint32_t home_role::CountSpare(const pool_id& pool) const {
@@ -185,10 +184,8 @@
                .in_use = true};
   const slot_index slot(
       static_cast<std::uint64_t>(std::distance(t.slots.begin(), free)));
-  return granted_lease{{*id, slot, t.next_serial},
-                       max_run,
-                       s.is_doubtful(),
-                       s.serial};
+  return granted_lease{
+      {*id, slot, t.next_serial}, max_run, s.is_doubtful(), s.serial};
 }
 
 // Grants what it can and says how many slots are still owed.
@@ -240,9 +237,8 @@
   if (it == wants_.end() || !MayLend(step.now))
     return;
   std::deque<want>& wants = it->second;
-  std::erase_if(wants, [&](const want& w) {
-    return step.now - w.received >= kWantTime;
-  });
+  std::erase_if(
+      wants, [&](const want& w) { return step.now - w.received >= kWantTime; });
   // The holder with the fewest slots comes first; among equals the oldest.
   std::stable_sort(wants.begin(), wants.end(),
                    [](const want& a, const want& b) {
--- /dev/null
+++ b/packages/balance/tests/balance_fault_test.cc
@@ -0,0 +1,270 @@
+#include <doctest/doctest.h>
+
+#include "fake_cluster.h"
+
+namespace dotterellead {
+namespace {
+
+// Long enough for a takeover: validity of a majority, lease time, longest run
+// and margin, with room to spare.
+constexpr seconds kRecovery{9};
+
+struct fault {
+  const char* name;
+  std::function<void(fake_cluster&, int home)> strike;
+  std::function<void(fake_cluster&, int home)> mend;
+};
+
+const std::vector<fault>& Faults() {
+  static const std::vector<fault> faults = {
+      {"none", [](fake_cluster&, int) {}, [](fake_cluster&, int) {}},
+      {"home paused within the lease time",
+       [](fake_cluster& c, int home) { c.Pause(home); },
+       [](fake_cluster& c, int home) { c.Resume(home); }},
+      {"home paused, taken over, resumed",
+       [](fake_cluster& c, int home) {
+         c.Pause(home);
+         c.After(milliseconds(500), [&c, home] { c.NewEpoch(c.AllBut(home)); });
+       },
+       [](fake_cluster& c, int home) {
+         c.Resume(home);
+         c.NewEpoch(c.AllHosts());
+       }},
+      {"home crashed, taken over, restarted",
+       [](fake_cluster& c, int home) {
+         c.Crash(home);
+         c.NewEpoch(c.AllBut(home));
+       },
+       [](fake_cluster& c, int home) {
+         c.Restart(home);
+         c.NewEpoch(c.AllHosts());
+       }},
+      {"home restarted at once within the epoch",
+       [](fake_cluster& c, int home) { c.Restart(home); },
+       [](fake_cluster& c, int home) { c.Restart(home); }},
+      {"home leaves with a handover, comes back",
+       [](fake_cluster& c, int home) { c.NewEpoch(c.AllBut(home)); },
+       [](fake_cluster& c, int) { c.NewEpoch(c.AllHosts()); }},
+      {"home leaves and the new home restarts during the handover",
+       [](fake_cluster& c, int home) {
+         c.NewEpoch(c.AllBut(home));
+         const int next = c.HomeOf(0);
+         c.After(milliseconds(103), [&c, next] { c.Restart(next); });
+       },
+       [](fake_cluster& c, int) { c.NewEpoch(c.AllHosts()); }},
+      {"two epochs in quick succession",
+       [](fake_cluster& c, int home) {
+         c.NewEpoch(c.AllBut(home));
+         c.After(milliseconds(50), [&c] { c.NewEpoch(c.AllHosts()); });
+       },
+       [](fake_cluster& c, int home) { c.NewEpoch(c.AllBut(home)); }},
+      {"home cut off, taken over, healed",
+       [](fake_cluster& c, int home) {
+         c.Partition({home});
+         c.NewEpoch(c.AllBut(home));
+       },
+       [](fake_cluster& c, int) {
+         c.Heal();
+         c.NewEpoch(c.AllHosts());
+       }},
+      {"two holders cut off",
+       [](fake_cluster& c, int home) {
+         c.Partition({(home + 1) % 5, (home + 2) % 5});
+       },
+       [](fake_cluster& c, int) { c.Heal(); }},
+      {"holder crashed and restarted",
+       [](fake_cluster& c, int home) { c.Restart((home + 1) % 5); },
+       [](fake_cluster& c, int home) { c.Restart((home + 1) % 5); }},
+      {"holder paused past its leases",
+       [](fake_cluster& c, int home) { c.Pause((home + 1) % 5); },
+       [](fake_cluster& c, int home) { c.Resume((home + 1) % 5); }},
+      {"server restarted", [](fake_cluster& c, int) { c.RestartServer(0); },
+       [](fake_cluster& c, int) { c.RestartServer(1); }},
+      {"data centre out and back",
+       [](fake_cluster& c, int) { c.SetOut("a", true); },
+       [](fake_cluster& c, int) { c.SetOut("a", false); }},
+  };
+  return faults;
+}
+
+struct quality_row {
+  const char* name;
+  network_quality quality;
+  milliseconds news_time;
+};
+
+const std::vector<quality_row>& Qualities() {
+  static const std::vector<quality_row> rows = {
+      {"clean", {}, milliseconds(100)},
+      {"lossy",
+       {.drop = 0.1,
+        .repeat = 0.2,
+        .least_delay = microseconds(300),
+        .most_delay = microseconds(30'000)},
+       limits::kLeaseTimeToLive + limits::kLeaseRenewalInterval},
+      {"slow and reordered",
+       {.drop = 0.02,
+        .repeat = 0.3,
+        .least_delay = microseconds(1'000),
+        .most_delay = microseconds(1'200'000)},
+       limits::kLeaseTimeToLive + limits::kLeaseRenewalInterval * 2},
+  };
+  return rows;
+}
+
+void CheckInvariants(const fake_cluster& c) {
+  CHECK(c.counts().slots_exceeded == 0);
+  CHECK(c.counts().cold_exceeded == 0);
+}
+
+// Guards against two hosts using one slot, whatever fails and however messages
+// arrive, and against slots that are lost for good.
+TEST_CASE("slots are never exceeded and come back after every fault") {
+  for (const quality_row& network : Qualities()) {
+    for (const fault& f : Faults()) {
+      for (const int phase_ms : {0, 170, 410}) {
+        CAPTURE(network.name);
+        CAPTURE(f.name);
+        CAPTURE(phase_ms);
+        fake_cluster c({.rate = 65,
+                        .network = network.quality,
+                        .seed = 7 + static_cast<std::uint64_t>(phase_ms),
+                        .news_time = network.news_time});
+        c.RunFor(seconds(4) + milliseconds(phase_ms));
+        const int home = c.HomeOf(0);
+        f.strike(c, home);
+        c.RunFor(seconds(1));
+        CheckInvariants(c);
+        c.RunFor(kRecovery);
+        f.mend(c, home);
+        c.RunFor(kRecovery);
+        CheckInvariants(c);
+        c.SetNetwork({});
+        c.RunFor(kRecovery);
+        c.ResetCounts();
+        c.RunFor(seconds(2));
+        CheckInvariants(c);
+        // Every server works again, and nearly all calls are served.
+        CHECK(c.counts().by_server.size() == 6);
+        CHECK(c.counts().refused * 50 < c.counts().assigned);
+      }
+    }
+  }
+}
+
+// Guards against slots that a dead host's leases hold for longer than needed.
+TEST_CASE("a dead holder's slots are back after lease, run and margin") {
+  for (const int victim : {0, 1, 2, 3, 4}) {
+    CAPTURE(victim);
+    fake_cluster c({.rate = 0, .patience = seconds(30)});
+    c.RunFor(seconds(5));
+    // Answers make the servers warm, then the victim takes all slots.
+    for (int round = 0; round < 400; ++round) {
+      c.Call(victim);
+      c.RunFor(milliseconds(2));
+    }
+    for (int i = 0; i < 60; ++i)
+      c.Call(victim);
+    c.RunFor(milliseconds(20));
+    CHECK(c.InFlight() == c.Capacity());
+    c.Crash(victim);
+    std::set<int> lent_by_others;
+    std::uint32_t expected = 0;
+    for (int s = 0; s < 6; ++s) {
+      if (c.HomeOf(s) != victim)
+        expected += 2;
+    }
+    c.RunFor(limits::kLeaseTimeToLive + milliseconds(400) +
+             limits::kLeaseMargin + milliseconds(20));
+    for (int i = 0; i < 60; ++i)
+      c.Call((victim + 1) % 5);
+    c.RunFor(milliseconds(20));
+    CHECK(c.InFlight() == expected);
+    CheckInvariants(c);
+  }
+}
+
+// Guards against work on a lease that ended while its holder was paused.
+TEST_CASE("a holder paused before its send sends nothing after the lease") {
+  fake_cluster c({.rate = 100});
+  c.RunFor(seconds(5));
+  c.Call(1);
+  c.Pause(1);
+  c.RunFor(seconds(6));
+  c.Resume(1);
+  c.RunFor(milliseconds(10));
+  CHECK(c.counts().expired_sends_stopped > 0);
+  CHECK(c.counts().slots_exceeded == 0);
+}
+
+// Guards against a planned stop that leaves servers without slots for the
+// seconds that waiting out the old leases takes.
+TEST_CASE("a handover leaves no gap in lending") {
+  fake_cluster c({.rate = 60});
+  c.RunFor(seconds(6));
+  const int home = c.HomeOf(0);
+  c.host(home).takes_calls = false;
+  c.NewEpoch(c.AllBut(home));
+  c.RunFor(milliseconds(800));
+  c.ResetCounts();
+  c.RunFor(milliseconds(500));
+  CHECK(c.counts().by_server.size() == 6);
+  CHECK(c.counts().refused == 0);
+  CheckInvariants(c);
+}
+
+// Guards against a minority that goes on lending what the majority lends too.
+TEST_CASE("a home without the right lends nothing after the lease time") {
+  fake_cluster c({.rate = 60});
+  c.RunFor(seconds(6));
+  const int home = c.HomeOf(0);
+  c.Partition({home});
+  c.RunFor(limits::kMajorityValidity + limits::kLeaseTimeToLive + seconds(1));
+  for (const server_balance& s : c.host(home).report.servers) {
+    CHECK(s.held == 0);
+    CHECK_FALSE(s.lending.value_or(false));
+  }
+}
+
+// Guards against servers that get work after they said they drain, or after
+// their data centre was taken out.
+TEST_CASE("draining servers and data centres get no new work") {
+  fake_cluster c({.rate = 100});
+  c.RunFor(seconds(6));
+  c.Server(0).draining = true;
+  c.RunFor(milliseconds(500));
+  c.ResetCounts();
+  c.RunFor(seconds(3));
+  CHECK(c.counts().sent_to_draining == 0);
+  CHECK(c.counts().assigned > 1000);
+  c.SetOut("b", true);
+  c.RunFor(milliseconds(20));
+  c.ResetCounts();
+  c.RunFor(seconds(3));
+  CHECK(c.counts().by_server.count(fake_cluster::ServerId(1)) == 0);
+  CHECK(c.counts().by_server.count(fake_cluster::ServerId(2)) == 1);
+  CHECK(c.host(0).report.servers[1].reason == idle_reason::kDataCentreOut);
+}
+
+// Guards against a full load on a server that came back cold, whoever notices.
+TEST_CASE("a server that restarts gets its cold slots only until it is warm") {
+  for (const std::uint32_t cold_slots : {1U, 2U, 3U}) {
+    CAPTURE(cold_slots);
+    fake_cluster c(
+        {.servers = 4, .slots = 8, .cold_slots = cold_slots, .rate = 200});
+    c.RunFor(seconds(6));
+    for (const int server : {0, 1, 2, 3, 0}) {
+      c.RestartServer(server);
+      c.RunFor(seconds(2));
+    }
+    c.RunFor(seconds(3));
+    CheckInvariants(c);
+    CHECK_FALSE(c.Server(0).cold);
+    c.Server(0).most_in_flight = 0;
+    c.RunFor(seconds(3));
+    CHECK(c.Server(0).most_in_flight > cold_slots);
+  }
+}
+
+}  // namespace
+}  // namespace dotterellead
--- /dev/null
+++ b/packages/balance/tests/balance_measure_test.cc
@@ -0,0 +1,94 @@
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "fake_cluster.h"
+
+namespace dotterellead {
+namespace {
+
+double WaitMs(std::vector<microseconds>& waits, double share) {
+  if (waits.empty())
+    return 0;
+  std::sort(waits.begin(), waits.end());
+  const auto at =
+      static_cast<std::size_t>(share * static_cast<double>(waits.size() - 1));
+  return static_cast<double>(waits[at].count()) / 1'000;
+}
+
+struct policy_row {
+  const char* name;
+  choice_policy_kind kind;
+};
+
+// Guards against leases that exceed slots, or that wait so long that the
+// baselines without leases would serve better.
+TEST_CASE("leases compared with choices from local views at 80% load") {
+  std::map<choice_policy_kind, double> p99;
+  for (const policy_row& row :
+       {policy_row{"leased", choice_policy_kind::kLeased},
+        policy_row{"round_robin", choice_policy_kind::kRoundRobin},
+        policy_row{"two_choices", choice_policy_kind::kTwoChoices}}) {
+    // 72 slots of 20 ms runs: 3600 requests per second are a full load.
+    fake_cluster c({.hosts = 16,
+                    .servers = 36,
+                    .max_run = milliseconds(2'000),
+                    .mean_run = microseconds(20'000),
+                    .rate = 0.8 * 3'600 / 16,
+                    .policy = row.kind,
+                    .seed = 11});
+    c.Every(milliseconds(600), [&c] { c.ReportLoad(milliseconds(100)); });
+    c.RunFor(seconds(8));
+    c.ResetCounts();
+    c.waits().clear();
+    c.RunFor(seconds(10));
+    const cluster_counts& counts = c.counts();
+    p99[row.kind] = WaitMs(c.waits(), 0.99);
+    fmt::print(
+        "policy={} assigned={} refused={} slots_exceeded={} wait_ms_p50={:.2f} "
+        "p90={:.2f} p99={:.2f} p999={:.2f} peer_bytes_per_host_s={}\n",
+        row.name, counts.assigned, counts.refused, counts.slots_exceeded,
+        WaitMs(c.waits(), 0.5), WaitMs(c.waits(), 0.9), p99[row.kind],
+        WaitMs(c.waits(), 0.999), counts.bytes / 10 / 16);
+    const bool is_leased = row.kind == choice_policy_kind::kLeased;
+    CHECK((counts.slots_exceeded == 0) == is_leased);
+    CHECK((counts.bytes > 0) == is_leased);
+    CHECK(counts.refused == 0);
+  }
+  CHECK(p99[choice_policy_kind::kLeased] <
+        p99[choice_policy_kind::kRoundRobin]);
+  CHECK(p99[choice_policy_kind::kLeased] <
+        p99[choice_policy_kind::kTwoChoices]);
+}
+
+struct traffic {
+  std::uint64_t calls = 0;
+  std::uint64_t bytes = 0;
+};
+
+// Ten times the calls, each a tenth as long, are the same load.
+traffic SteadyTraffic(double rate, microseconds mean_run) {
+  fake_cluster c({.hosts = 4,
+                  .servers = 8,
+                  .slots = 16,
+                  .mean_run = mean_run,
+                  .rate = rate,
+                  .seed = 3});
+  c.RunFor(seconds(8));
+  c.ResetCounts();
+  c.RunFor(seconds(10));
+  return {c.counts().assigned, c.counts().bytes};
+}
+
+// Guards against messages for each call.
+TEST_CASE("control traffic does not grow with the calls of a steady load") {
+  const traffic few = SteadyTraffic(100, microseconds(100'000));
+  const traffic many = SteadyTraffic(1'000, microseconds(10'000));
+  fmt::print("calls={} bytes={}; calls={} bytes={}\n", few.calls, few.bytes,
+             many.calls, many.bytes);
+  CHECK(many.calls > 8 * few.calls);
+  CHECK(many.bytes < 2 * few.bytes);
+  CHECK(many.bytes / 10 / 4 < 19'000);
+}
+
+}  // namespace
+}  // namespace dotterellead
