--- a/packages/balance/src/holder_leases.cc
+++ b/packages/balance/src/holder_leases.cc
@@ -6,11 +6,13 @@
 namespace dotterellead {
 namespace {
 
-// Homes asked at once. One more is asked for each that has no slot.
+// Homes asked at once.
 constexpr std::size_t kAskFanOut = 2;
 // A host with waiting requests asks no more often than this, however many
-// calls arrive, so that messages follow the load's shifts.
-constexpr milliseconds kAskInterval{10};
+// calls arrive, so that messages follow the load's shifts. With 16 hosts and
+// 72 slots at 80% load this gives 18 KB/s per host; asking the next home as
+// soon as one had none gave 39 KB/s and waits only a fifth shorter.
+constexpr milliseconds kAskInterval{40};
 // A home that owes slots is asked again after this time, before it forgets.
 constexpr milliseconds kAskAgain{300};
 
@@ -58,7 +60,8 @@
   if (lease.recalled) {
     const auto pool = pools_.find(s->pool);
     const bool is_needed = pool != pools_.end() && !pool->second.queue.empty();
-    if (!is_needed || Held(s->pool) >= lease.needy_held + 2)
+    const std::uint32_t held = Held(s->pool);
+    if (!is_needed || held >= lease.needy_held + 2)
       return true;
   }
   return now - lease.idle_since >= limits::kIdleLeaseReturn;
@@ -123,7 +126,8 @@
     if (lease == nullptr)
       continue;
     lease->recalled = true;
-    lease->must_return = lease->must_return || m.must;
+    const bool is_idle = !lease->user.is_valid();
+    lease->must_return = lease->must_return || m.must || is_idle;
     lease->needy_held = m.needy_held;
     if (ReviewLease(ref.server, ref.slot, *lease, step.now))
       leases_[ref.server].erase(ref.slot);
@@ -144,25 +148,35 @@
                          std::uint32_t count,
                          step_context& step) {
   ask_state& state = pools_[pool].asks[version];
-  if (step.now < state.next_ask)
-    return;
   const std::vector<member_id> homes =
       HomesToAsk(pool, version, state, step.now);
-  if (homes.empty())
+  // Asking itself costs no message. If it has too few slots, its answer leads
+  // here again.
+  const member_id& self = servers_.options().self;
+  if (std::find(homes.begin(), homes.end(), self) != homes.end()) {
+    AskHome(pool, version, count, self, step);
+    return;
+  }
+  if (homes.empty() || step.now < state.next_ask)
     return;
   state.next_ask = step.now + kAskInterval;
-  const std::uint32_t held = Held(pool);
   const std::size_t asked = std::min(kAskFanOut, homes.size());
-  for (std::size_t i = 0; i < asked; ++i) {
-    state.homes[homes[i]] = {step.now, true, 0};
-    step.Send(homes[i],
-              slot_request{.incarnation = servers_.options().incarnation,
-                           .sequence = NextSequence({step.now, {}}),
-                           .pool = pool,
-                           .version = version,
-                           .count = count,
-                           .held = held});
-  }
+  for (std::size_t i = 0; i < asked; ++i)
+    AskHome(pool, version, count, homes[i], step);
+}
+
+void holder_role::AskHome(const pool_id& pool,
+                          const version_id& version,
+                          std::uint32_t count,
+                          const member_id& home,
+                          step_context& step) {
+  pools_[pool].asks[version].homes[home] = {step.now, true, 0};
+  step.Send(home, slot_request{.incarnation = servers_.options().incarnation,
+                               .sequence = NextSequence({step.now, {}}),
+                               .pool = pool,
+                               .version = version,
+                               .count = count,
+                               .held = Held(pool)});
 }
 
 // Homes that may have a slot: those with spare ones first, then those of the
@@ -212,8 +226,6 @@
   }
   for (const granted_lease& granted : m.leases)
     Accept(m, granted, sent_at, step);
-  if (m.leases.empty())
-    state.next_ask = step.now;
   ServeWaiting(m.pool, step);
 }
 
--- a/packages/balance/src/holder_role.h
+++ b/packages/balance/src/holder_role.h
@@ -118,6 +118,11 @@
               const version_id& version,
               std::uint32_t count,
               step_context& step);
+  void AskHome(const pool_id& pool,
+               const version_id& version,
+               std::uint32_t count,
+               const member_id& home,
+               step_context& step);
   std::vector<member_id> HomesToAsk(const pool_id& pool,
                                     const version_id& version,
                                     const ask_state& state,
--- a/packages/balance/src/home_role.cc
+++ b/packages/balance/src/home_role.cc
@@ -11,9 +11,9 @@
 // A lease is not recalled again within this time, unless a lost message is the
 // only explanation.
 constexpr milliseconds kRecallInterval{100};
-// Holders asked per missing slot: the home does not know which slots are idle
-// now.
-constexpr std::uint32_t kRecallsPerSlot = 4;
+// Leases recalled per missing slot. Recalling more moves slots that are not
+// needed.
+constexpr std::uint32_t kRecallsPerSlot = 1;
 // The time in which every host has a new configuration, with a margin: until
 // then the home by the earlier configuration may lend.
 constexpr milliseconds kConfigSpread{20'000};
