--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -470,7 +470,7 @@
                                tick>;
   using effect = std::variant<assigned, refused, send_to_peer, balance_report>;
 
-  explicit balance_machine(balance_options options = {});
+  explicit balance_machine(const balance_options& options = {});
   ~balance_machine();
   balance_machine(balance_machine&&) noexcept;
   balance_machine& operator=(balance_machine&&) noexcept;
--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -216,7 +216,7 @@
   std::uint64_t peer_messages_sent_ = 0;
 };
 
-balance_machine::balance_machine(balance_options options)
+balance_machine::balance_machine(const balance_options& options)
     : impl_(std::make_unique<impl>(options)) {}
 balance_machine::~balance_machine() = default;
 balance_machine::balance_machine(balance_machine&&) noexcept = default;
--- a/packages/balance/src/holder_leases.cc
+++ b/packages/balance/src/holder_leases.cc
@@ -12,7 +12,7 @@
 // calls arrive, so that messages follow the load's shifts. With 16 hosts and
 // 72 slots at 80% load this gives 18 KB/s per host; asking the next home as
 // soon as one had none gave 39 KB/s and waits only a fifth shorter.
-constexpr milliseconds kAskInterval{40};
+constexpr milliseconds kAskInterval{30};
 // A home that owes slots is asked again after this time, before it forgets.
 constexpr milliseconds kAskAgain{300};
 
--- a/packages/balance/tests/balance_fault_test.cc
+++ b/packages/balance/tests/balance_fault_test.cc
@@ -190,6 +190,9 @@
 TEST_CASE("a holder paused before its send sends nothing after the lease") {
   fake_cluster c({.rate = 40});
   c.RunFor(seconds(7));
+  for (int i = 0; i < 5; ++i)
+    c.host(i).takes_calls = false;
+  c.RunFor(milliseconds(600));
   const std::uint64_t before = c.counts().assigned;
   for (int i = 0; i < 50 && c.counts().assigned == before; ++i) {
     c.RunFor(milliseconds(1));
--- /dev/null
+++ b/packages/balance/tests/balance_handover_test.cc
@@ -0,0 +1,156 @@
+#include <doctest/doctest.h>
+
+#include "dotterellead/balance.h"
+
+namespace dotterellead {
+namespace {
+
+using std::chrono::seconds;
+
+const member_id kSelf("a");
+const member_id kOther("b");
+const member_id kHolder("x");
+const server_id kServer("s");
+
+// One entry host that may be a home; the test plays all others.
+struct lone_home {
+  lone_home()
+      : machine({.self = kSelf,
+                 .incarnation = incarnation_id(5),
+                 .standalone = false}) {
+    auto view = std::make_shared<config_view>();
+    view->pools[pool_id("p")].spec.servers = {
+        {.address = kServer, .slots = 3, .cold_slots = 3}};
+    Step(config_changed{view});
+    now += seconds(10);
+  }
+  std::vector<balance_peer_message> Step(balance_machine::message m) {
+    std::vector<balance_machine::effect> effects;
+    machine.Step(m, {now, {}}, effects);
+    std::vector<balance_peer_message> sent;
+    for (const balance_machine::effect& e : effects)
+      if (const auto* message = std::get_if<send_to_peer>(&e))
+        sent.push_back(message->body);
+    for (const balance_peer_message& message : sent)
+      if (const auto* grant = std::get_if<slot_grant>(&message))
+        granted += grant->leases.size();
+    return sent;
+  }
+  void Enter(std::uint64_t epoch, const member_id& home) {
+    offers = Step(homes_changed{epoch_number(epoch), {{home, {}}}});
+  }
+  void GiveRight(std::uint64_t epoch, std::optional<time_point> earlier_end) {
+    Step(
+        home_right_changed{epoch_number(epoch), now + seconds(3), earlier_end});
+  }
+  // Slots granted at once on a request for `count`. The home owes the rest.
+  std::size_t Request(std::uint32_t count) {
+    const std::size_t before = granted;
+    Step(balance_received{
+        kHolder, slot_request{incarnation_id(1), ++sequence, pool_id("p"),
+                              version_id(), count, 0}});
+    return granted - before;
+  }
+  // Slots lent according to the table that an acceptance brings, if any.
+  std::optional<std::size_t> Accept(std::uint64_t epoch,
+                                    std::uint64_t incarnation) {
+    const auto sent = Step(balance_received{
+        kOther,
+        handover_accept{
+            epoch_number(epoch), incarnation_id(incarnation), {kServer}}});
+    if (sent.empty())
+      return std::nullopt;
+    return std::get<handover>(sent.at(0)).tables.at(0).lent.size();
+  }
+  balance_machine machine;
+  time_point now{seconds(100)};
+  std::uint64_t sequence = 0;
+  std::size_t granted = 0;
+  std::vector<balance_peer_message> offers;
+};
+
+// Guards against two homes that both believe they have the newest table.
+TEST_CASE("a lease table goes to one incarnation while the right lasts") {
+  lone_home h;
+  h.Enter(1, kSelf);
+  h.GiveRight(1, h.now - seconds(60));
+  CHECK(h.Request(2) == 2);
+  h.Enter(2, kOther);
+  REQUIRE(h.offers.size() == 1);
+  CHECK(std::get<handover_offer>(h.offers[0]).servers.size() == 1);
+  CHECK(h.Request(1) == 0);
+  CHECK(h.Accept(2, 7) == 2);
+  CHECK_FALSE(h.Accept(2, 8));
+  CHECK(h.Accept(2, 7) == 2);
+  h.now += seconds(3);
+  CHECK_FALSE(h.Accept(2, 7));
+}
+
+// Guards against a table that another home has lent from in between.
+TEST_CASE("a home that missed an epoch keeps and hands over nothing") {
+  for (const std::uint64_t next : {2, 3}) {
+    for (const member_id& home : {kSelf, kOther}) {
+      CAPTURE(next);
+      lone_home h;
+      h.Enter(1, kSelf);
+      h.GiveRight(1, h.now - seconds(60));
+      CHECK(h.Request(1) == 1);
+      h.Enter(next, home);
+      h.GiveRight(next, std::nullopt);
+      const bool keeps = next == 2;
+      CHECK(h.offers.empty() == !(keeps && home == kOther));
+      CHECK(h.Request(1) == (keeps && home == kSelf ? 1 : 0));
+    }
+  }
+}
+
+// Guards against a home that lends by a table meant for its former run, for
+// another epoch, or after it has lent slots itself.
+TEST_CASE("a home takes over only the table sent to it in this epoch") {
+  lone_home h;
+  h.Enter(2, kSelf);
+  h.GiveRight(2, std::nullopt);
+  CHECK(h.Request(1) == 0);
+  const lease_table table{
+      kServer,
+      9,
+      false,
+      false,
+      0,
+      {{slot_index(0), kOther, 9, milliseconds(900), milliseconds(2'000)}}};
+  const auto take_over = [&](std::uint64_t epoch, std::uint64_t incarnation) {
+    h.Step(balance_received{
+        kOther,
+        handover{epoch_number(epoch), incarnation_id(incarnation), {table}}});
+  };
+  take_over(2, 4);
+  take_over(1, 5);
+  CHECK(h.Request(3) == 0);
+  take_over(2, 5);
+  CHECK(h.granted == 2);
+  take_over(2, 5);
+  CHECK(h.Request(3) == 0);
+  // The handed over lease runs out 900 ms, 2 s and the margin from now.
+  h.now += milliseconds(900) + milliseconds(2'000);
+  h.GiveRight(2, std::nullopt);
+  CHECK(h.Request(1) == 0);
+  h.Step(tick{});
+  CHECK(h.granted == 2);
+  h.now += limits::kLeaseMargin;
+  h.Step(tick{});
+  CHECK(h.granted == 3);
+}
+
+// Guards against repeated requests that take slots nobody uses.
+TEST_CASE("a repeated request is granted once") {
+  lone_home h;
+  h.Enter(1, kSelf);
+  h.GiveRight(1, h.now - seconds(60));
+  CHECK(h.Request(1) == 1);
+  --h.sequence;
+  CHECK(h.Request(1) == 0);
+  CHECK(h.Request(3) == 2);
+}
+
+}  // namespace
+}  // namespace dotterellead
