--- a/apps/dotterellead/entry_host.cc
+++ b/apps/dotterellead/entry_host.cc
@@ -10,7 +10,7 @@
 
 constexpr milliseconds kBalanceTick{20};
 constexpr milliseconds kClaimTick{20};
-constexpr milliseconds kConfigTick{100};
+constexpr milliseconds kConfigTick{50};
 constexpr milliseconds kRolloutTick{250};
 constexpr milliseconds kDrainTick{50};
 constexpr milliseconds kRelayTick{100};
@@ -93,31 +93,56 @@
                                 .policy = PolicyOf(settings_.choice_policy),
                                 .seed = incarnation_.value(),
                                 .standalone = !HasLog()}),
-               clock_, kBalanceTick, Sink<balance_machine>()),
+               clock_,
+               kBalanceTick,
+               Sink<balance_machine>()),
       membership_("membership",
-                  membership_machine({self_, Seeds()}, clock_.Now()), clock_,
-                  limits::kGossipInterval, Sink<membership_machine>()),
+                  membership_machine({self_, Seeds()}, clock_.Now()),
+                  clock_,
+                  limits::kGossipInterval,
+                  Sink<membership_machine>()),
       config_("config",
               config_machine(self_.id.value() + "/" +
                              std::to_string(incarnation_.value())),
-              clock_, kConfigTick, Sink<config_machine>()),
+              clock_,
+              kConfigTick,
+              Sink<config_machine>()),
       claims_("idempotency",
               idempotency_machine(
                   {.member = self_.id, .incarnation = incarnation_}),
-              clock_, kClaimTick, Sink<idempotency_machine>()),
+              clock_,
+              kClaimTick,
+              Sink<idempotency_machine>()),
       rollout_("rollout",
                counted_rollout(rollout_machine(self_.id, incarnation_),
                                versions_.counters()),
-               clock_, kRolloutTick, Sink<counted_rollout>()),
-      admission_("admission", admission_machine(), clock_,
-                 limits::kAdmissionTick, Sink<admission_machine>()),
-      measure_("measure", measure_machine(), clock_, limits::kMeasureTick,
+               clock_,
+               kRolloutTick,
+               Sink<counted_rollout>()),
+      admission_("admission",
+                 admission_machine(),
+                 clock_,
+                 limits::kAdmissionTick,
+                 Sink<admission_machine>()),
+      measure_("measure",
+               measure_machine(),
+               clock_,
+               limits::kMeasureTick,
                Sink<measure_machine>()),
-      drain_("drain", drain_machine({.grace = settings_.shutdown_grace}),
-             clock_, kDrainTick, Sink<drain_machine>()),
-      probing_("probing", probe_relay(), clock_, kRelayTick,
+      drain_("drain",
+             drain_machine({.grace = settings_.shutdown_grace}),
+             clock_,
+             kDrainTick,
+             Sink<drain_machine>()),
+      probing_("probing",
+               probe_relay(),
+               clock_,
+               kRelayTick,
                [this](probe_relay::effect& e) { DoProbe(e); }),
-      housekeeping_("housekeeping", chore_relay(), clock_, kRelayTick,
+      housekeeping_("housekeeping",
+                    chore_relay(),
+                    clock_,
+                    kRelayTick,
                     [this](chore_relay::effect& e) { DoChore(e); }),
       flow_({slots_, ClaimGateInUse(), admission_adapter_, versions_,
              transport_, metrics_, clock_,
@@ -129,14 +154,14 @@
                  return Serve(request, caller);
                }),
       operator_api_(view_, clock_, settings_.operator_secret),
-      operators_({.address = settings_.operator_address,
-                  .threads = kOperatorThreads},
-                 [this](const http_request& request, const http_peer& peer) {
-                   return operator_api_.Handle(request, peer);
-                 }),
-      peers_({.address = settings_.peer_address,
-              .secret = settings_.peer_secret},
-             PeerMethods()) {
+      operators_(
+          {.address = settings_.operator_address, .threads = kOperatorThreads},
+          [this](const http_request& request, const http_peer& peer) {
+            return operator_api_.Handle(request, peer);
+          }),
+      peers_(
+          {.address = settings_.peer_address, .secret = settings_.peer_secret},
+          PeerMethods()) {
   slots_.Join(balance_, measure_);
   claims_adapter_.Join(claims_);
   admission_adapter_.Join(admission_);
@@ -175,7 +200,8 @@
   return flow_.Handle(request, caller);
 }
 
-// ---- Start and stop ---------------------------------------------------------------------------
+// ---- Start and stop
+// ---------------------------------------------------------------------------
 
 void entry_host::impl::OpenLog() {
   log_ = std::make_unique<http_log_client>(*settings_.log_address);
@@ -253,7 +279,8 @@
   if (cut > 0) {
     LogEvent(log_level::kWarning, "grace-time-over",
              {{"cut_requests", std::to_string(cut)}});
-    // Their threads still wait for backend servers; nothing else is left to save.
+    // Their threads still wait for backend servers; nothing else is left to
+    // save.
     std::quick_exit(0);
   }
   callers_.Stop();
--- a/apps/dotterellead/entry_host_effects.cc
+++ b/apps/dotterellead/entry_host_effects.cc
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-// ---- Balance ----------------------------------------------------------------------------------
+// ---- Balance
+// ----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(assigned& e) {
   slots_.Deliver(e);
@@ -76,7 +77,8 @@
   }
 }
 
-// ---- Membership -------------------------------------------------------------------------------
+// ---- Membership
+// -------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(send_gossip& e) {
   const std::string address = e.address;
@@ -84,7 +86,8 @@
   auto done = [this, address, sent_at](std::optional<std::string> result) {
     TakeGossipReply(address, sent_at, result);
   };
-  if (!links_.Call(address, "gossip", EncodeDigest(e.digest), done))
+  if (!links_.Call(address, "gossip", EncodeDigest(e.digest), done,
+                   peer_links::merge::kReplaceUnsent))
     membership_.Post(gossip_failed{address});
 }
 
@@ -105,12 +108,11 @@
 }
 
 void entry_host::impl::Carry(home_right& e) {
-  DeliverSurely(
-      balance_,
-      home_right_changed{
-          .epoch = e.epoch,
-          .lend_before = e.may_lend ? e.valid_until : time_point(),
-          .earlier_homes_end = e.earlier_ended_at});
+  DeliverSurely(balance_,
+                home_right_changed{
+                    .epoch = e.epoch,
+                    .lend_before = e.may_lend ? e.valid_until : time_point(),
+                    .earlier_homes_end = e.earlier_ended_at});
 }
 
 void entry_host::impl::Carry(peers_changed& e) {
@@ -141,8 +143,7 @@
       offsets = {peer.config_offset, peer.run.address};
     }
   }
-  admission.majority =
-      2 * (peers.size() + 1) > state_.Epoch().members.size();
+  admission.majority = 2 * (peers.size() + 1) > state_.Epoch().members.size();
   DeliverSurely(claims_, std::move(claims));
   DeliverSurely(rollout_, std::move(rollout));
   DeliverSurely(admission_, std::move(admission));
@@ -151,12 +152,12 @@
     DeliverSurely(config_, std::move(offsets));
 }
 
-// ---- Config -----------------------------------------------------------------------------------
+// ---- Config
+// -----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(append_request& e) {
-  stream_access& stream = e.stream == config_stream_->stream()
-                              ? *config_stream_
-                              : *members_stream_;
+  stream_access& stream =
+      e.stream == config_stream_->stream() ? *config_stream_ : *members_stream_;
   stream.Append(std::move(e));
 }
 
@@ -192,7 +193,8 @@
   DeliverSurely(rollout_, rollout_log_changed{e.readable});
 }
 
-// ---- Idempotency ------------------------------------------------------------------------------
+// ---- Idempotency
+// ------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(claim_answer& e) {
   claims_adapter_.Deliver(e);
@@ -210,7 +212,8 @@
   claim_streams_[e.shard.value()]->ReadFrom(e.offset);
 }
 
-// ---- Rollout ----------------------------------------------------------------------------------
+// ---- Rollout
+// ----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(propose_step& e) {
   config_.Post(propose_move_step{e.move, e.revision, e.from_step, e.progress});
@@ -235,7 +238,8 @@
             peer_links::merge::kNone);
 }
 
-// ---- Admission --------------------------------------------------------------------------------
+// ---- Admission
+// --------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(begin_answer& e) {
   admission_adapter_.Deliver(e.request, e.allowed);
@@ -272,7 +276,8 @@
             {"fingerprint", std::to_string(e.fingerprint.value())}});
 }
 
-// ---- Measure ----------------------------------------------------------------------------------
+// ---- Measure
+// ----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(send_probe& e) {
   if (!probing_.Post(e))
@@ -306,7 +311,8 @@
   DeliverSurely(measure_, std::move(done));
 }
 
-// ---- Drain ------------------------------------------------------------------------------------
+// ---- Drain
+// ------------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(effective_config& e) {
   state_.SetServing(e.config);
@@ -327,7 +333,8 @@
   stop_changed_.notify_all();
 }
 
-// ---- Housekeeping -----------------------------------------------------------------------------
+// ---- Housekeeping
+// -----------------------------------------------------------------------------
 
 void entry_host::impl::DoChore(chore_relay::effect& e) {
   if (const auto* lost = std::get_if<peer_lost>(&e)) {
--- a/apps/dotterellead/entry_host_impl.h
+++ b/apps/dotterellead/entry_host_impl.h
@@ -1,4 +1,5 @@
-// Inside of an entry host: its duties, and what each does with the effects of the others.
+// Inside of an entry host: its duties, and what each does with the effects of
+// the others.
 #ifndef DOTTERELLEAD_ENTRY_HOST_IMPL_H_
 #define DOTTERELLEAD_ENTRY_HOST_IMPL_H_
 
@@ -24,10 +25,13 @@
 
 namespace dotterellead {
 
-// Refuses non-idempotent requests, which cannot be made safe without the platform's log.
+// Refuses non-idempotent requests, which cannot be made safe without the
+// platform's log.
 class no_log_claim_gate : public claim_gate {
  public:
-  claim_decision Begin(const idempotency_key&, std::uint64_t, time_point) override {
+  claim_decision Begin(const idempotency_key&,
+                       std::uint64_t,
+                       time_point) override {
     return claim_refusal{503, run_state::kNotRun,
                          "this entry host has no platform log",
                          "start it with --log-address"};
@@ -36,7 +40,8 @@
   void Void(const idempotency_key&) override {}
 };
 
-// Posts a message that must not be lost. Between duties, rings drain within milliseconds.
+// Posts a message that must not be lost. Between duties, rings drain within
+// milliseconds.
 template <class Duty, class Message>
 void DeliverSurely(Duty& to, Message m) {
   constexpr milliseconds kWait{1'000};
@@ -60,8 +65,8 @@
   std::vector<std::string> Seeds() const;
   peer_stats PeerStats() const;
 
-  // Hands a stream's news to its duty. A truncated stream is read on from its start; the duty sees
-  // the gap by the batch's first offset.
+  // Hands a stream's news to its duty. A truncated stream is read on from its
+  // start; the duty sees the gap by the batch's first offset.
   template <class Duty>
   void PassNews(log_news&& news, stream_access& stream, Duty& to) {
     if (const auto* truncated = std::get_if<log_truncated>(&news)) {
@@ -161,7 +166,9 @@
                        time_point sent_at,
                        const std::optional<std::string>& result);
   void TakeFetched(const std::optional<std::string>& result);
-  void SendTo(const member_id& to, const std::string& method, std::string params);
+  void SendTo(const member_id& to,
+              const std::string& method,
+              std::string params);
   void SendToAll(const std::string& method,
                  const std::string& params,
                  peer_links::merge policy);
@@ -185,11 +192,13 @@
   std::unique_ptr<http_host_list_client> host_list_;
   std::unique_ptr<stream_access> config_stream_;
   std::unique_ptr<stream_access> members_stream_;
-  std::array<std::unique_ptr<stream_access>, limits::kClaimShards> claim_streams_;
+  std::array<std::unique_ptr<stream_access>, limits::kClaimShards>
+      claim_streams_;
   peer_links links_;
   operator_view view_;
 
-  // When this host became the home of each server. Used by the balance duty's thread only.
+  // When this host became the home of each server. Used by the balance duty's
+  // thread only.
   std::map<server_id, time_point> home_since_;
   // Used by the housekeeping duty's thread only.
   time_point next_host_list_;
--- a/apps/dotterellead/entry_host_peers.cc
+++ b/apps/dotterellead/entry_host_peers.cc
@@ -6,7 +6,7 @@
 namespace {
 
 // A peer gives up on an answer after this time.
-constexpr milliseconds kPeerAnswerWait{500};
+constexpr milliseconds kPeerAnswerWait{900};
 constexpr char kNoResult[] = "{}";
 
 time_point AnswerDeadline() {
@@ -27,17 +27,16 @@
       {"balance",
        [this](const std::string& params) {
          const peer_envelope envelope = DecodeEnvelope(params);
-         balance_.Post(balance_received{
-             envelope.from, DecodeBalanceMessage(envelope.body)});
+         balance_.Post(balance_received{envelope.from,
+                                        DecodeBalanceMessage(envelope.body)});
          return kNoResult;
        }},
       {"admission",
        [this](const std::string& params) {
          const peer_envelope envelope = DecodeEnvelope(params);
-         DeliverSurely(admission_,
-                       admission_received{
-                           envelope.from,
-                           DecodeAdmissionMessage(envelope.body)});
+         DeliverSurely(admission_, admission_received{
+                                       envelope.from,
+                                       DecodeAdmissionMessage(envelope.body)});
          return kNoResult;
        }},
       {"evidence",
--- a/apps/dotterellead/host_reports.h
+++ b/apps/dotterellead/host_reports.h
@@ -1,4 +1,5 @@
-// What the duties last reported, for the threads that answer operators and requests.
+// What the duties last reported, for the threads that answer operators and
+// requests.
 #ifndef DOTTERELLEAD_HOST_REPORTS_H_
 #define DOTTERELLEAD_HOST_REPORTS_H_
 
--- a/apps/dotterellead/log_access.h
+++ b/apps/dotterellead/log_access.h
@@ -10,13 +10,17 @@
 
 namespace dotterellead {
 
-// One stream with its reader and its appender. Appends to one stream are made one at a time.
+// One stream with its reader and its appender. Appends to one stream are made
+// one at a time.
 class stream_access {
  public:
   using news_sink = std::function<void(log_news&&)>;
   using result_sink = std::function<void(append_result&&)>;
 
-  stream_access(log_client& log, const stream_id& stream, news_sink news, result_sink result)
+  stream_access(log_client& log,
+                const stream_id& stream,
+                news_sink news,
+                result_sink result)
       : stream_(stream),
         tail_(log, stream, std::move(news)),
         appender_(stream.value(), log, std::move(result)) {}
--- a/apps/dotterellead/operator_view.cc
+++ b/apps/dotterellead/operator_view.cc
@@ -16,15 +16,18 @@
   if (!e.gets_work)
     e.reasons.emplace_back(to_string(server.reason));
   if (server.suspect)
-    e.reasons.emplace_back("suspect: only cold slots are used until it answers as warm");
+    e.reasons.emplace_back(
+        "suspect: only cold slots are used until it answers as warm");
   else if (server.cold)
-    e.reasons.emplace_back("cold: only cold slots are used until it answers as warm");
+    e.reasons.emplace_back(
+        "cold: only cold slots are used until it answers as warm");
   e.reasons.push_back(fmt::format("home {}; this host holds {} of {} slots",
-                                  server.home.value(), server.held, server.slots));
+                                  server.home.value(), server.held,
+                                  server.slots));
   if (server.lending) {
-    e.reasons.push_back(fmt::format("this host is the home, {} and has lent {}",
-                                    *server.lending ? "may lend" : "may not lend yet",
-                                    server.lent));
+    e.reasons.push_back(fmt::format(
+        "this host is the home, {} and has lent {}",
+        *server.lending ? "may lend" : "may not lend yet", server.lent));
   }
   return e;
 }
@@ -32,9 +35,12 @@
 void AddSummary(const std::string& name,
                 const latency_summary& latency,
                 interval_stats& stats) {
-  stats.values.emplace_back(name + ".p50_ms", static_cast<double>(latency.p50.count()) / 1e3);
-  stats.values.emplace_back(name + ".p99_ms", static_cast<double>(latency.p99.count()) / 1e3);
-  stats.values.emplace_back(name + ".p999_ms", static_cast<double>(latency.p999.count()) / 1e3);
+  stats.values.emplace_back(name + ".p50_ms",
+                            static_cast<double>(latency.p50.count()) / 1e3);
+  stats.values.emplace_back(name + ".p99_ms",
+                            static_cast<double>(latency.p99.count()) / 1e3);
+  stats.values.emplace_back(name + ".p999_ms",
+                            static_cast<double>(latency.p999.count()) / 1e3);
 }
 
 std::string RowName(const metric_labels& labels) {
@@ -62,13 +68,14 @@
   }
   const request_id request(next_request_.fetch_add(1));
   answers_.Expect(request);
-  const bool posted = config_->PostUntil(write_request{.request = request,
-                                                       .remove = write.remove,
-                                                       .item = write.item,
-                                                       .expected = write.expected,
-                                                       .deadline = deadline,
-                                                       .dry_run = write.dry_run},
-                                         deadline);
+  const bool posted =
+      config_->PostUntil(write_request{.request = request,
+                                       .remove = write.remove,
+                                       .item = write.item,
+                                       .expected = write.expected,
+                                       .deadline = deadline,
+                                       .dry_run = write.dry_run},
+                         deadline);
   const time_point last = posted ? deadline + kReplyMargin : time_point();
   if (auto outcome = answers_.Await(request, last))
     return *outcome;
@@ -124,7 +131,8 @@
   return found;
 }
 
-std::vector<server_explanation> operator_view::ExplainPool(const pool_id& pool) {
+std::vector<server_explanation> operator_view::ExplainPool(
+    const pool_id& pool) {
   return Explain([&](const server_balance& s) { return s.pool == pool; });
 }
 
@@ -141,8 +149,10 @@
   stats.values.emplace_back("refusals", static_cast<double>(last.refusals));
   for (const interval_row& row : last.rows) {
     const std::string name = RowName(row.labels);
-    stats.values.emplace_back(name + ".requests", static_cast<double>(row.requests));
-    stats.values.emplace_back(name + ".failures", static_cast<double>(row.failures));
+    stats.values.emplace_back(name + ".requests",
+                              static_cast<double>(row.requests));
+    stats.values.emplace_back(name + ".failures",
+                              static_cast<double>(row.failures));
     AddSummary(name + ".total", row.total, stats);
     AddSummary(name + ".added", row.added, stats);
   }
@@ -154,7 +164,8 @@
   const balance_report balance = parts_.state.Balance();
   std::string text = parts_.metrics.Expose();
   auto gauge = [&](std::string_view name, std::uint64_t value) {
-    text += fmt::format("# TYPE dotterellead_{0} gauge\ndotterellead_{0} {1}\n", name, value);
+    text += fmt::format("# TYPE dotterellead_{0} gauge\ndotterellead_{0} {1}\n",
+                        name, value);
   };
   gauge("peer_bytes_sent", peers.bytes_out);
   gauge("peer_bytes_received", peers.bytes_in);
--- a/apps/dotterellead/operator_view.h
+++ b/apps/dotterellead/operator_view.h
@@ -35,12 +35,14 @@
   void Deliver(const write_result& result);
 
   config_snapshot Config() override;
-  write_outcome Write(const operator_write& write, time_point deadline) override;
+  write_outcome Write(const operator_write& write,
+                      time_point deadline) override;
   config_changes ChangesFrom(log_offset from, time_point deadline) override;
   host_status Status() override;
   health_status Health() override;
   std::vector<server_explanation> ExplainPool(const pool_id& pool) override;
-  std::vector<server_explanation> ExplainServer(const server_id& server) override;
+  std::vector<server_explanation> ExplainServer(
+      const server_id& server) override;
   interval_stats Stats() override;
   std::string Metrics() override;
 
--- a/apps/dotterellead/peer_directory.h
+++ b/apps/dotterellead/peer_directory.h
@@ -1,4 +1,5 @@
-// The live peers as membership last reported them, for threads that send to them.
+// The live peers as membership last reported them, for threads that send to
+// them.
 #ifndef DOTTERELLEAD_PEER_DIRECTORY_H_
 #define DOTTERELLEAD_PEER_DIRECTORY_H_
 
--- a/apps/dotterellead/prober.cc
+++ b/apps/dotterellead/prober.cc
@@ -18,16 +18,20 @@
 
 probe_done prober::Probe(const send_probe& probe) {
   std::unique_ptr<http_connection>& connection = connections_[probe.server];
-  const milliseconds limit = std::max(
-      milliseconds(1), std::chrono::duration_cast<milliseconds>(probe.time_limit));
+  const milliseconds limit =
+      std::max(milliseconds(1),
+               std::chrono::duration_cast<milliseconds>(probe.time_limit));
   if (connection == nullptr || !connection->IsReusable()) {
     connection = std::make_unique<http_connection>(
         ParseSocketAddress(probe.server.value()), limit);
   }
   const auto begin = std::chrono::steady_clock::now();
-  const send_result sent = connection->Send(
-      {"GET", kLoadTarget, {{"request-timeout-ms", std::to_string(limit.count())}}, ""},
-      limit);
+  const send_result sent =
+      connection->Send({"GET",
+                        kLoadTarget,
+                        {{"request-timeout-ms", std::to_string(limit.count())}},
+                        ""},
+                       limit);
   const auto took = std::chrono::steady_clock::now() - begin;
   probe_done done{.server = probe.server,
                   .result = ResultOf(sent),
@@ -46,7 +50,8 @@
 
 void prober::KeepOnly(const std::vector<server_id>& servers) {
   std::erase_if(connections_, [&](const auto& entry) {
-    return std::find(servers.begin(), servers.end(), entry.first) == servers.end();
+    return std::find(servers.begin(), servers.end(), entry.first) ==
+           servers.end();
   });
 }
 
--- a/apps/dotterellead/prober.h
+++ b/apps/dotterellead/prober.h
@@ -12,7 +12,8 @@
 // Used by one thread.
 class prober {
  public:
-  // Asks the server for its load report and waits for it, within the probe's time limit.
+  // Asks the server for its load report and waits for it, within the probe's
+  // time limit.
   probe_done Probe(const send_probe& probe);
   // Closes connections to all servers but these.
   void KeepOnly(const std::vector<server_id>& servers);
--- a/apps/dotterellead/request_adapters.cc
+++ b/apps/dotterellead/request_adapters.cc
@@ -5,21 +5,23 @@
 
 // Time for a duty's own refusal to arrive before the waiting thread gives up.
 constexpr milliseconds kReplyMargin{200};
-// Messages that must not be lost wait this long for room; rings drain within milliseconds.
+// Messages that must not be lost wait this long for room; rings drain within
+// milliseconds.
 constexpr milliseconds kMustArriveWait{5'000};
 
+// This attempt did not run, but an earlier one with the same key may have.
 claim_refusal LogUnavailable() {
-  return {503, run_state::kNotRun, "the claim could not be decided in time",
+  return {504, run_state::kUnknown, "the claim could not be decided in time",
           "send it again with the same Idempotency-Key"};
 }
 
 http_answer AnswerOf(const saved_outcome& outcome) {
   if (outcome.truncated) {
-    http_answer answer = MakeOwnAnswer(
-        outcome.status, run_state::kDone, "answer-too-large",
-        "the request ran; its answer was too large to keep",
-        "read the result from the service; body digest " +
-            std::to_string(outcome.body_digest));
+    http_answer answer =
+        MakeOwnAnswer(outcome.status, run_state::kDone, "answer-too-large",
+                      "the request ran; its answer was too large to keep",
+                      "read the result from the service; body digest " +
+                          std::to_string(outcome.body_digest));
     return answer;
   }
   return {outcome.status, outcome.headers, outcome.body};
@@ -41,7 +43,8 @@
 
 }  // namespace
 
-// ---- Claims -----------------------------------------------------------------------------------
+// ---- Claims
+// -----------------------------------------------------------------------------------
 
 claim_decision claim_adapter::Begin(const idempotency_key& key,
                                     std::uint64_t fingerprint,
@@ -69,9 +72,8 @@
   outcome.run = run;
   finished_.Expect(request);
   const time_point now = clock_.Now().steady;
-  const bool posted =
-      claims_->PostUntil(finish_claim{request, key, std::move(outcome)},
-                         now + kMustArriveWait);
+  const bool posted = claims_->PostUntil(
+      finish_claim{request, key, std::move(outcome)}, now + kMustArriveWait);
   if (!posted) {
     LogEvent(log_level::kError, "outcome-not-recorded", {{"key", key.value()}});
   }
@@ -92,7 +94,8 @@
   finished_.Fulfil(finished.request, finished);
 }
 
-// ---- Admission --------------------------------------------------------------------------------
+// ---- Admission
+// --------------------------------------------------------------------------------
 
 bool admission_adapter::Ask(request_id request,
                             admission_machine::message m,
@@ -109,22 +112,22 @@
   if (table_.TryBegin(pool, fingerprint))
     return true;
   const request_id request = NextRequest();
-  return Ask(request, begin_run{request, pool, fingerprint, deadline}, deadline);
+  return Ask(request, begin_run{request, pool, fingerprint, deadline},
+             deadline);
 }
 
 bool admission_adapter::TakeRetry(const pool_id& pool) {
   const request_id request = NextRequest();
-  return Ask(request,
-             take_retry{request, pool, table_.TakeFirstTries(pool)},
+  return Ask(request, take_retry{request, pool, table_.TakeFirstTries(pool)},
              clock_.Now().steady + kReplyMargin);
 }
 
 bool admission_adapter::RecordCrash(request_fingerprint fingerprint,
                                     const server_id& server) {
   const request_id request = NextRequest();
-  return Ask(request, record_crash{request, fingerprint, server},
-             clock_.Now().steady + limits::kStrikeWait +
-                 limits::kCrashRetryWait);
+  return Ask(
+      request, record_crash{request, fingerprint, server},
+      clock_.Now().steady + limits::kStrikeWait + limits::kCrashRetryWait);
 }
 
 void admission_adapter::End(request_fingerprint fingerprint, bool answered) {
@@ -146,7 +149,8 @@
   table_.Unmark(fingerprint);
 }
 
-// ---- Versions ---------------------------------------------------------------------------------
+// ---- Versions
+// ---------------------------------------------------------------------------------
 
 version_id version_adapter::Choose(const pool_id& pool,
                                    const route_id&,
@@ -157,7 +161,8 @@
     shares = shares_;
   }
   const auto it = shares->find(pool);
-  return it == shares->end() ? version_id() : ChooseVersion(it->second, request);
+  return it == shares->end() ? version_id()
+                             : ChooseVersion(it->second, request);
 }
 
 void version_adapter::Record(const pool_id& pool,
--- a/apps/dotterellead/request_adapters.h
+++ b/apps/dotterellead/request_adapters.h
@@ -1,4 +1,5 @@
-// Join the request path's threads to the duties that decide on claims, admission and versions.
+// Join the request path's threads to the duties that decide on claims,
+// admission and versions.
 #ifndef DOTTERELLEAD_REQUEST_ADAPTERS_H_
 #define DOTTERELLEAD_REQUEST_ADAPTERS_H_
 
@@ -59,7 +60,9 @@
   void Unmark(request_fingerprint fingerprint);
 
  private:
-  bool Ask(request_id request, admission_machine::message m, time_point deadline);
+  bool Ask(request_id request,
+           admission_machine::message m,
+           time_point deadline);
   request_id NextRequest() { return request_id(next_request_.fetch_add(1)); }
 
   const clock_source& clock_;
@@ -88,7 +91,8 @@
   using share_table = std::map<pool_id, version_shares>;
   version_counters counters_;
   mutable std::mutex mutex_;
-  // Replaced as a whole, so that requests hold the lock only to copy the pointer.
+  // Replaced as a whole, so that requests hold the lock only to copy the
+  // pointer.
   std::shared_ptr<const share_table> shares_ = std::make_shared<share_table>();
 };
 
--- a/apps/dotterellead/slot_adapter.cc
+++ b/apps/dotterellead/slot_adapter.cc
@@ -44,7 +44,8 @@
   }
 }
 
-// Only a server's home measures it, so attempts on other servers are not reported.
+// Only a server's home measures it, so attempts on other servers are not
+// reported.
 void slot_adapter::TellMeasure(const release& result) {
   std::uint32_t in_flight = 0;
   {
--- a/bench/include/load.h
+++ b/bench/include/load.h
@@ -1,5 +1,6 @@
-// Open-loop load: requests are due at times that do not depend on earlier answers, and latency
-// counts from when a request was due, so that a stall is not hidden.
+// Open-loop load: requests are due at times that do not depend on earlier
+// answers, and latency counts from when a request was due, so that a stall is
+// not hidden.
 #ifndef DOTTERELLEAD_BENCH_LOAD_H_
 #define DOTTERELLEAD_BENCH_LOAD_H_
 
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -23,7 +23,9 @@
   std::uniform_int_distribution<int> per_mille(0, 999);
   const double gap_us = 1e6 / options.requests_per_second * options.burst;
   std::vector<planned> plan;
-  for (double due = 0; due < 1e3 * static_cast<double>(options.duration.count()); due += gap_us) {
+  for (double due = 0;
+       due < 1e3 * static_cast<double>(options.duration.count());
+       due += gap_us) {
     for (int i = 0; i < options.burst; ++i) {
       plan.push_back({microseconds(static_cast<std::int64_t>(due)),
                       per_mille(random) < options.post_per_mille});
@@ -33,10 +35,12 @@
 }
 
 std::string NewKey(std::uint64_t seed, std::size_t n) {
-  const auto now = static_cast<std::uint64_t>(system_clock_source().Now().wall.value);
+  const auto now =
+      static_cast<std::uint64_t>(system_clock_source().Now().wall.value);
   const std::uint64_t low = StableHash(fmt::format("{}/{}/{}", now, seed, n));
-  return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", now >> 16, now & 0xffff, n & 0xfff,
-                     (low >> 48) & 0xfff, low & 0xffffffffffffULL);
+  return fmt::format("{:08x}-{:04x}-7{:03x}-8{:03x}-{:012x}", now >> 16,
+                     now & 0xffff, n & 0xfff, (low >> 48) & 0xfff,
+                     low & 0xffffffffffffULL);
 }
 
 // Sends the requests of one thread; keeps a connection to each target.
@@ -61,14 +65,16 @@
     }
     const send_result result =
         connection->Send(request, options_.timeout + milliseconds(500));
-    s.latency = std::chrono::duration_cast<microseconds>(steady::now() - begin - p.due);
+    s.latency =
+        std::chrono::duration_cast<microseconds>(steady::now() - begin - p.due);
     if (!result.ok()) {
       connection.reset();
       return s;
     }
     s.status = result.answer.status;
     s.body = result.answer.body.substr(0, result.answer.body.find('\n'));
-    if (const std::string* run = FindHeader(result.answer.headers, "dotterellead-run"))
+    if (const std::string* run =
+            FindHeader(result.answer.headers, "dotterellead-run"))
       s.run = *run;
     return s;
   }
@@ -105,7 +111,8 @@
     return microseconds(0);
   const auto at = static_cast<std::size_t>(
       quantile * static_cast<double>(latencies.size() - 1) + 0.5);
-  std::nth_element(latencies.begin(), latencies.begin() + static_cast<std::ptrdiff_t>(at),
+  std::nth_element(latencies.begin(),
+                   latencies.begin() + static_cast<std::ptrdiff_t>(at),
                    latencies.end());
   return latencies[at];
 }
--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -67,8 +67,8 @@
   // An idle connection was found closed by the server, as after a restart.
   bool found_closed = false;
   server_id server;
-  // After a cut, a timeout or a cancellation the server may still run the request until then: the
-  // deadline that it was given, and a margin.
+  // After a cut, a timeout or a cancellation the server may still run the
+  // request until then: the deadline that it was given, and a margin.
   time_point busy_until;
 };
 
--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -29,6 +29,26 @@
 
 }  // namespace
 
+std::string_view to_string(attempt_result result) {
+  switch (result) {
+    case attempt_result::kAnswered:
+      return "answered";
+    case attempt_result::kShed:
+      return "shed";
+    case attempt_result::kConnectFailed:
+      return "connect-failed";
+    case attempt_result::kCut:
+      return "cut";
+    case attempt_result::kTimedOut:
+      return "timed-out";
+    case attempt_result::kCancelled:
+      return "cancelled";
+    case attempt_result::kNotSent:
+      return "not-sent";
+  }
+  return "not-sent";
+}
+
 std::string_view to_string(refusal_reason reason) {
   switch (reason) {
     case refusal_reason::kQueueFull:
--- a/packages/balance/src/holder_role.cc
+++ b/packages/balance/src/holder_role.cc
@@ -9,14 +9,27 @@
 // reach the server in time.
 constexpr milliseconds kLeastLeaseLeft{20};
 // Time for a server to notice that a request was cancelled or cut.
-constexpr milliseconds kCancelSettle{20};
+constexpr milliseconds kCancelSettle{50};
 // A use whose release never came ends this long after the server must have
 // ended the run.
 constexpr milliseconds kReleaseMargin{1'000};
 
-bool MayStillRun(attempt_result result) {
-  return result == attempt_result::kCancelled ||
-         result == attempt_result::kCut || result == attempt_result::kTimedOut;
+// When the server has certainly ended the run. After a cut it may not know that
+// nobody waits any more, so that only the deadline it was given ends the run.
+time_point FreeFrom(const release& m, time_point now) {
+  switch (m.result) {
+    case attempt_result::kCut:
+      return std::max(now, m.busy_until);
+    case attempt_result::kCancelled:
+    case attempt_result::kTimedOut:
+      return now + kCancelSettle;
+    case attempt_result::kAnswered:
+    case attempt_result::kShed:
+    case attempt_result::kConnectFailed:
+    case attempt_result::kNotSent:
+      return now;
+  }
+  return now;
 }
 
 }  // namespace
@@ -75,8 +88,7 @@
     return;
   lease->user = request_id();
   lease->idle_since = step.now;
-  lease->usable_from =
-      MayStillRun(m.result) ? step.now + kCancelSettle : step.now;
+  lease->usable_from = FreeFrom(m, step.now);
   if (ReviewLease(used.server, used.slot, *lease, step.now))
     leases_[used.server].erase(used.slot);
 }
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -208,6 +208,9 @@
 // ownership.
 std::uint64_t StableHash(std::string_view text);
 
+// Compares a secret. The time does not depend on where the texts differ.
+bool EqualInConstantTime(std::string_view given, std::string_view expected);
+
 // ---- Bounded ring
 // -----------------------------------------------------------------------------
 
@@ -414,7 +417,8 @@
   std::thread thread_;
 };
 
-// Machine without state, for a duty whose whole work is blocking I/O in its sink.
+// Machine without state, for a duty whose whole work is blocking I/O in its
+// sink.
 template <class Work>
 class relay_machine {
  public:
--- a/packages/core/src/core.cc
+++ b/packages/core/src/core.cc
@@ -65,4 +65,14 @@
   return hash;
 }
 
+bool EqualInConstantTime(std::string_view given, std::string_view expected) {
+  // The volatile sum keeps the compiler from returning at the first difference.
+  volatile std::size_t difference = given.size() ^ expected.size();
+  for (std::size_t i = 0; i < given.size(); ++i) {
+    const char other = expected.empty() ? '\0' : expected[i % expected.size()];
+    difference = difference | static_cast<unsigned char>(given[i] ^ other);
+  }
+  return difference == 0;
+}
+
 }  // namespace dotterellead
--- a/packages/drain/include/dotterellead/drain.h
+++ b/packages/drain/include/dotterellead/drain.h
@@ -1,4 +1,5 @@
-// What takes no new work: backend servers that leave, and this host once it is told to stop.
+// What takes no new work: backend servers that leave, and this host once it is
+// told to stop.
 #ifndef DOTTERELLEAD_DRAIN_H_
 #define DOTTERELLEAD_DRAIN_H_
 
@@ -12,7 +13,8 @@
 
 namespace dotterellead {
 
-// ---- Messages ---------------------------------------------------------------------------------
+// ---- Messages
+// ---------------------------------------------------------------------------------
 
 // The declared resources as replayed from the log.
 struct declared_config {
@@ -32,10 +34,12 @@
   std::size_t count = 0;
 };
 
-// ---- Effects ----------------------------------------------------------------------------------
+// ---- Effects
+// ----------------------------------------------------------------------------------
 
-// The resources to serve by: the declared ones, with servers that the host list adds and without
-// those that it shows as leaving. Its `through` is that of the declared ones.
+// The resources to serve by: the declared ones, with servers that the host list
+// adds and without those that it shows as leaving. Its `through` is that of the
+// declared ones.
 struct effective_config {
   config_snapshot config;
 };
@@ -48,7 +52,8 @@
   std::size_t cut_requests = 0;
 };
 
-// ---- Machine ----------------------------------------------------------------------------------
+// ---- Machine
+// ----------------------------------------------------------------------------------
 
 struct drain_options {
   // The platform's balancer needs this long to see that the host is not ready.
@@ -58,7 +63,11 @@
 
 class drain_machine {
  public:
-  using message = std::variant<declared_config, listed_hosts, stop_requested, requests_in_flight, tick>;
+  using message = std::variant<declared_config,
+                               listed_hosts,
+                               stop_requested,
+                               requests_in_flight,
+                               tick>;
   using effect = std::variant<effective_config, leaving_started, stop_ready>;
 
   explicit drain_machine(drain_options options) : options_(options) {}
@@ -66,10 +75,14 @@
   void Step(const message& m, const moment& now, std::vector<effect>& out);
 
  private:
-  void On(const declared_config& m, const moment& now, std::vector<effect>& out);
+  void On(const declared_config& m,
+          const moment& now,
+          std::vector<effect>& out);
   void On(const listed_hosts& m, const moment& now, std::vector<effect>& out);
   void On(const stop_requested& m, const moment& now, std::vector<effect>& out);
-  void On(const requests_in_flight& m, const moment& now, std::vector<effect>& out);
+  void On(const requests_in_flight& m,
+          const moment& now,
+          std::vector<effect>& out);
   void On(const tick& m, const moment& now, std::vector<effect>& out);
   void Publish(std::vector<effect>& out);
 
@@ -82,7 +95,8 @@
   bool stopped_ = false;
 };
 
-// The declared resources changed by the host list as effective_config describes.
+// The declared resources changed by the host list as effective_config
+// describes.
 config_view ApplyHostList(const config_view& declared,
                           const std::vector<listed_host>& hosts);
 
--- a/packages/drain/tests/drain_test.cc
+++ b/packages/drain/tests/drain_test.cc
@@ -12,7 +12,8 @@
 config_snapshot TwoServers() {
   auto view = std::make_shared<config_view>();
   view->pools[pool_id("pay")].spec = {
-      .servers = {{.address = server_id("127.0.0.1:1")}, {.address = server_id("127.0.0.1:2")}},
+      .servers = {{.address = server_id("127.0.0.1:1")},
+                  {.address = server_id("127.0.0.1:2")}},
       .from_host_list = true,
       .default_slots = 3};
   return view;
@@ -22,8 +23,8 @@
   return {.address = address, .state = state, .pool = pool_id("pay")};
 }
 
-// Guards against new work for a server that the platform shows as leaving, and against a server
-// that is lost or changed because the list names it too.
+// Guards against new work for a server that the platform shows as leaving, and
+// against a server that is lost or changed because the list names it too.
 TEST_CASE("the host list adds servers and removes leaving ones") {
   drain_machine machine({});
   std::vector<drain_machine::effect> out;
@@ -44,23 +45,27 @@
   CHECK(servers[1].slots == 3);
 }
 
-// Guards against needless republication, which would make servers count as newly declared.
+// Guards against needless republication, which would make servers count as
+// newly declared.
 TEST_CASE("an unchanged list publishes nothing") {
   drain_machine machine({});
   std::vector<drain_machine::effect> out;
   machine.Step(declared_config{TwoServers()}, At(0), out);
-  machine.Step(listed_hosts{{Backend("127.0.0.1:2", host_state::kLive)}}, At(1), out);
+  machine.Step(listed_hosts{{Backend("127.0.0.1:2", host_state::kLive)}}, At(1),
+               out);
   CHECK(out.size() == 1);
 }
 
 // Guards against a planned stop that cuts requests, or that never ends.
-TEST_CASE("a stop waits for the notice time and for requests, up to the grace time") {
+TEST_CASE(
+    "a stop waits for the notice time and for requests, up to the grace time") {
   struct row {
     int requests_end_ms;
     int stop_ms;
     std::size_t cut;
   };
-  for (const row& r : {row{0, 1'000, 0}, row{4'000, 4'000, 0}, row{60'000, 10'000, 5}}) {
+  for (const row& r :
+       {row{0, 1'000, 0}, row{4'000, 4'000, 0}, row{60'000, 10'000, 5}}) {
     drain_machine machine({});
     std::vector<drain_machine::effect> out;
     machine.Step(requests_in_flight{5}, At(0), out);
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -45,8 +45,9 @@
 
 thread_local call_context* current_call = nullptr;
 
-// Lets a restarted process bind while connections of its predecessor still time out. Unlike the
-// library's default, it does not let two processes share the port.
+// Lets a restarted process bind while connections of its predecessor still time
+// out. Unlike the library's default, it does not let two processes share the
+// port.
 void AllowRestart(socket_t socket) {
   const int on = 1;
   setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
--- a/packages/measure/include/dotterellead/measure.h
+++ b/packages/measure/include/dotterellead/measure.h
@@ -109,7 +109,7 @@
 enum class suspicion { kProbeFailed, kProbesSlow };
 std::string_view to_string(suspicion reason);
 
-struct server_suspected {
+struct probe_suspicion {
   server_id server;
   suspicion reason = suspicion::kProbeFailed;
 };
@@ -126,7 +126,7 @@
  public:
   using message =
       std::variant<servers_homed_here, probe_done, attempt_seen, tick>;
-  using effect = std::variant<send_probe, load_estimate, server_suspected>;
+  using effect = std::variant<send_probe, load_estimate, probe_suspicion>;
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
 
--- a/packages/measure/src/measure_machine.cc
+++ b/packages/measure/src/measure_machine.cc
@@ -99,14 +99,14 @@
     // The real cost is unknown and higher, so the next probe gets more time.
     state.cost_us = std::clamp(2 * cost, state.cost_us, kLargestCostUs);
     if (++state.slow_probes >= limits::kSlowProbesBeforeSuspect)
-      out.emplace_back(server_suspected{m.server, suspicion::kProbesSlow});
+      out.emplace_back(probe_suspicion{m.server, suspicion::kProbesSlow});
     return;
   }
   state.slow_probes = 0;
   state.cost_us += kCostWeight * (cost - state.cost_us);
   state.cost_us = std::clamp(state.cost_us, kSmallestCostUs, kLargestCostUs);
   if (m.result == probe_result::kFailed) {
-    out.emplace_back(server_suspected{m.server, suspicion::kProbeFailed});
+    out.emplace_back(probe_suspicion{m.server, suspicion::kProbeFailed});
     return;
   }
   state.report = m.report;
--- a/packages/measure/tests/measure_test.cc
+++ b/packages/measure/tests/measure_test.cc
@@ -134,13 +134,13 @@
   home h;
   std::int64_t ms = h.NextProbe(0);
   h.Send(probe_done{probed, probe_result::kFailed, {}, milliseconds(1)}, ms);
-  CHECK(h.Find<server_suspected>()->reason == suspicion::kProbeFailed);
+  CHECK(h.Find<probe_suspicion>()->reason == suspicion::kProbeFailed);
   for (std::uint32_t i = 1; i <= limits::kSlowProbesBeforeSuspect; ++i) {
     ms = h.NextProbe(ms);
     const microseconds limit = h.Find<send_probe>()->time_limit;
     CHECK(limit <= limits::kMaxProbeTime);
     h.Send(probe_done{probed, probe_result::kTimedOut, {}, limit}, ms);
-    CHECK((h.Find<server_suspected>() != nullptr) ==
+    CHECK((h.Find<probe_suspicion>() != nullptr) ==
           (i == limits::kSlowProbesBeforeSuspect));
   }
 }
--- a/packages/operate/include/dotterellead/operate.h
+++ b/packages/operate/include/dotterellead/operate.h
@@ -146,9 +146,6 @@
 std::vector<resource_status> StatusOfResources(const config_view& view,
                                                const host_status& host);
 
-// Equal texts take the same time to compare wherever they differ.
-bool EqualInConstantTime(std::string_view a, std::string_view b);
-
 // ---- The API
 // ---------------------------------------------------------------------------------
 
--- a/packages/operate/src/status.cc
+++ b/packages/operate/src/status.cc
@@ -37,17 +37,6 @@
   return all;
 }
 
-bool EqualInConstantTime(std::string_view a, std::string_view b) {
-  // Always walks the whole of `a`, which the caller chooses; its length is no
-  // secret.
-  volatile unsigned char difference = a.size() == b.size() ? 0 : 1;
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    const char other = b.empty() ? '\0' : b[i % b.size()];
-    difference = static_cast<unsigned char>(difference | (a[i] ^ other));
-  }
-  return difference == 0;
-}
-
 // ---- config_feed
 // -----------------------------------------------------------------------------
 
--- a/packages/peer/src/peer_rpc.cc
+++ b/packages/peer/src/peer_rpc.cc
@@ -131,13 +131,4 @@
   return "Bearer " + secret;
 }
 
-bool EqualInConstantTime(std::string_view given, std::string_view expected) {
-  std::size_t difference = given.size() ^ expected.size();
-  for (std::size_t i = 0; i < given.size(); ++i) {
-    const char other = expected.empty() ? '\0' : expected[i % expected.size()];
-    difference |= static_cast<unsigned char>(given[i] ^ other);
-  }
-  return difference == 0;
-}
-
 }  // namespace dotterellead
--- a/packages/peer/src/peer_rpc.h
+++ b/packages/peer/src/peer_rpc.h
@@ -42,10 +42,6 @@
 // The value of the Authorization header that proves `secret`.
 std::string BearerValue(const std::string& secret);
 
-// Compares in a time that depends only on the length of `given`, so that
-// timing does not reveal a secret byte by byte.
-bool EqualInConstantTime(std::string_view given, std::string_view expected);
-
 }  // namespace dotterellead
 
 #endif  // DOTTERELLEAD_PEER_RPC_H_
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -60,9 +60,12 @@
   virtual claim_decision Begin(const idempotency_key& key,
                                std::uint64_t fingerprint,
                                time_point deadline) = 0;
-  // Records how the run of a won claim ended: kDone with the backend server's answer, or kUnknown
-  // with the answer that the caller gets. Returns once it is kept, or after limits::kOutcomeWait.
-  virtual void Finish(const idempotency_key& key, const http_answer& answer, run_state run) = 0;
+  // Records how the run of a won claim ended: kDone with the backend server's
+  // answer, or kUnknown with the answer that the caller gets. Returns once it
+  // is kept, or after limits::kOutcomeWait.
+  virtual void Finish(const idempotency_key& key,
+                      const http_answer& answer,
+                      run_state run) = 0;
   // Gives a won claim back. Only for a request that certainly did not run.
   virtual void Void(const idempotency_key& key) = 0;
 };
--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -17,7 +17,8 @@
   std::atomic<bool> gone{false};
 };
 
-// Answers with the request's body; connections up to `silent_up_to` get no answer.
+// Answers with the request's body; connections up to `silent_up_to` get no
+// answer.
 struct backend_server {
   http_answer Handle(const http_request& request, const http_peer& peer) {
     ++requests;
@@ -62,7 +63,8 @@
   pooled_transport transport{clock};
 };
 
-// Guards against connections that lost their path being used once a new one works.
+// Guards against connections that lost their path being used once a new one
+// works.
 TEST_CASE("silent connections are given up when a newer one answers") {
   fixture f;
   std::thread other([&] { f.Send("a"); });
@@ -72,7 +74,8 @@
   f.backend.silent_up_to = old;
   const attempt silent = f.Send("c");
   CHECK(silent.result.failure == send_failure::kTimeout);
-  // At most one more attempt meets an old connection, since each silent one is closed.
+  // At most one more attempt meets an old connection, since each silent one is
+  // closed.
   int timeouts = 0;
   for (int i = 0; i < 4; ++i)
     timeouts += f.Send("d").result.ok() ? 0 : 1;
@@ -80,8 +83,10 @@
   CHECK(f.Send("e").result.answer.body == "e");
 }
 
-// Guards against a non-idempotent request on a connection that may have lost its path.
-TEST_CASE("a non-idempotent request avoids connections without a recent answer") {
+// Guards against a non-idempotent request on a connection that may have lost
+// its path.
+TEST_CASE(
+    "a non-idempotent request avoids connections without a recent answer") {
   fixture f;
   CHECK(f.Send("a").result.ok());
   std::this_thread::sleep_for(limits::kFreshConnectionAge + milliseconds(20));
@@ -95,15 +100,15 @@
 TEST_CASE("nothing is sent after the lease or the deadline") {
   fixture f;
   const time_point now = f.clock.Now().steady;
-  const attempt late =
-      f.transport.Send(f.server, {"POST", "/", {}, "x"},
-                       {.send_before = now, .deadline = now + milliseconds(500)},
-                       f.caller);
+  const attempt late = f.transport.Send(
+      f.server, {"POST", "/", {}, "x"},
+      {.send_before = now, .deadline = now + milliseconds(500)}, f.caller);
   CHECK(late.not_sent);
   CHECK(f.backend.requests == 0);
 }
 
-// Guards against crossed answers: a timed-out connection must never carry another request.
+// Guards against crossed answers: a timed-out connection must never carry
+// another request.
 TEST_CASE("each of many callers gets the answer to its own request") {
   fixture f;
   std::atomic<int> wrong{0};
--- a/packages/proxy/tests/request_flow_test.cc
+++ b/packages/proxy/tests/request_flow_test.cc
@@ -193,8 +193,9 @@
   return run == nullptr ? "" : *run;
 }
 
-// Guards against a non-idempotent request sent again after it may have run, a false "not run", and
-// a claim that is voided although the request may have run.
+// Guards against a non-idempotent request sent again after it may have run, a
+// false "not run", and a claim that is voided although the request may have
+// run.
 TEST_CASE("every way in which attempts end, for both kinds of request") {
   using f = send_failure;
   struct row {
@@ -213,17 +214,88 @@
       {"server error", {Ok(500)}, 1, 500, "", 1, 500, "", 1, 0},
       {"shed once", {Shed(), Ok()}, 2, 200, "", 2, 200, "", 1, 0},
       {"shed always", {Shed()}, 4, 503, "not-run", 4, 503, "not-run", 0, 1},
-      {"refused once", {Failed(f::kConnect), Ok()}, 2, 200, "", 2, 200, "", 1, 0},
-      {"refused always", {Failed(f::kConnect)}, 4, 503, "not-run", 4, 503, "not-run", 0, 1},
-      {"cut once", {Failed(f::kCut), Ok()}, 2, 200, "", 1, 502, "unknown", 0, 0},
-      {"cut always", {Failed(f::kCut)}, 4, 502, "unknown", 1, 502, "unknown", 0, 0},
-      {"silent once", {Failed(f::kTimeout), Ok()}, 2, 200, "", 1, 504, "unknown", 0, 0},
-      {"bad answer", {Failed(f::kBadAnswer)}, 4, 502, "unknown", 1, 502, "unknown", 0, 0},
+      {"refused once",
+       {Failed(f::kConnect), Ok()},
+       2,
+       200,
+       "",
+       2,
+       200,
+       "",
+       1,
+       0},
+      {"refused always",
+       {Failed(f::kConnect)},
+       4,
+       503,
+       "not-run",
+       4,
+       503,
+       "not-run",
+       0,
+       1},
+      {"cut once",
+       {Failed(f::kCut), Ok()},
+       2,
+       200,
+       "",
+       1,
+       502,
+       "unknown",
+       0,
+       0},
+      {"cut always",
+       {Failed(f::kCut)},
+       4,
+       502,
+       "unknown",
+       1,
+       502,
+       "unknown",
+       0,
+       0},
+      {"silent once",
+       {Failed(f::kTimeout), Ok()},
+       2,
+       200,
+       "",
+       1,
+       504,
+       "unknown",
+       0,
+       0},
+      {"bad answer",
+       {Failed(f::kBadAnswer)},
+       4,
+       502,
+       "unknown",
+       1,
+       502,
+       "unknown",
+       0,
+       0},
       {"crash twice", {Crashed()}, 2, 502, "unknown", 1, 502, "unknown", 0, 0},
-      {"refused, cut", {Failed(f::kConnect), Failed(f::kCut), Failed(f::kConnect)},
-       4, 502, "unknown", 2, 502, "unknown", 0, 0},
+      {"refused, cut",
+       {Failed(f::kConnect), Failed(f::kCut), Failed(f::kConnect)},
+       4,
+       502,
+       "unknown",
+       2,
+       502,
+       "unknown",
+       0,
+       0},
       {"lease expired", {NotSent(), Ok()}, 2, 200, "", 2, 200, "", 1, 0},
-      {"shed, then no body of 503", {Shed(), Ok(503)}, 2, 503, "", 2, 503, "", 1, 0},
+      {"shed, then no body of 503",
+       {Shed(), Ok(503)},
+       2,
+       503,
+       "",
+       2,
+       503,
+       "",
+       1,
+       0},
   };
   for (const row& r : rows) {
     CAPTURE(r.name);
@@ -283,7 +355,8 @@
   fixture bad;
   const http_request no_key{"POST", "/a", {}, ""};
   CHECK(bad.flow.Handle(no_key, bad.caller).status == 400);
-  const http_request bad_timeout{"GET", "/a", {{"Request-Timeout-Ms", "5s"}}, ""};
+  const http_request bad_timeout{
+      "GET", "/a", {{"Request-Timeout-Ms", "5s"}}, ""};
   CHECK(bad.flow.Handle(bad_timeout, bad.caller).status == 400);
   for (const fixture* f : {&no_slots, &quarantined, &unclaimed, &bad})
     CHECK(f->backends.sent == 0);
@@ -299,18 +372,25 @@
   CHECK(f.backends.sent == 0);
 }
 
-// Guards against a deadline that grows on its way, and hop-by-hop headers that are passed on.
+// Guards against a deadline that grows on its way, and hop-by-hop headers that
+// are passed on.
 TEST_CASE("the deadline goes on with the time that is left") {
   fixture f;
-  f.flow.Handle({"GET", "/a", {{"request-timeout-ms", "300"}, {"Connection", "x-a"}, {"x-a", "1"}}, ""},
-                f.caller);
-  CHECK(*FindHeader(f.backends.last_request.headers, "request-timeout-ms") == "300");
+  f.flow.Handle(
+      {"GET",
+       "/a",
+       {{"request-timeout-ms", "300"}, {"Connection", "x-a"}, {"x-a", "1"}},
+       ""},
+      f.caller);
+  CHECK(*FindHeader(f.backends.last_request.headers, "request-timeout-ms") ==
+        "300");
   CHECK(FindHeader(f.backends.last_request.headers, "x-a") == nullptr);
   CHECK(f.backends.last_limits.deadline == f.clock.now + milliseconds(300));
   CHECK(f.backends.last_limits.cancel_with_caller);
   f.Post();
   // Bounded by the pool's max_run, not by the caller's 10 s default.
-  CHECK(*FindHeader(f.backends.last_request.headers, "request-timeout-ms") == "500");
+  CHECK(*FindHeader(f.backends.last_request.headers, "request-timeout-ms") ==
+        "500");
   CHECK(f.backends.last_limits.needs_fresh);
   CHECK_FALSE(f.backends.last_limits.cancel_with_caller);
 }
--- a/tests/harness/child_process.cc
+++ b/tests/harness/child_process.cc
@@ -64,8 +64,8 @@
   while (!exit_code_) {
     int status = 0;
     if (waitpid(pid_, &status, WNOHANG) == pid_) {
-      exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
-                                     : 128 + WTERMSIG(status);
+      exit_code_ =
+          WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
     } else if (std::chrono::steady_clock::now() >= end) {
       return std::nullopt;
     } else {
--- a/tests/harness/harness.cc
+++ b/tests/harness/harness.cc
@@ -130,8 +130,9 @@
                                       platform_address().ToString()};
   command.insert(command.end(), options_.platform_flags.begin(),
                  options_.platform_flags.end());
-  platform_ = std::make_unique<child_process>(
-      command, std::vector<std::string>{}, options_.log_folder + "/platform.log");
+  platform_ =
+      std::make_unique<child_process>(command, std::vector<std::string>{},
+                                      options_.log_folder + "/platform.log");
   if (!WaitFor(kStartTimeout, [&] {
         return CanConnect(platform_address(), milliseconds(100));
       })) {
@@ -169,13 +170,12 @@
       backend_commands_[process], std::vector<std::string>{},
       options_.log_folder + "/backend-" + std::to_string(process) + ".log");
   for (const server_handle& server : servers_) {
-    if (server.process == process &&
-        !WaitFor(kStartTimeout, [&] {
+    if (server.process == process && !WaitFor(kStartTimeout, [&] {
           return CanConnect(server.address, milliseconds(100));
         })) {
-      throw timeout_error("backend server " + server.address.ToString() +
-                              " does not start",
-                          "read its log in " + options_.log_folder);
+      throw timeout_error(
+          "backend server " + server.address.ToString() + " does not start",
+          "read its log in " + options_.log_folder);
     }
   }
 }
@@ -309,10 +309,10 @@
     return last.ok() && last.answer.status < 500;
   });
   if (!accepted || last.answer.status >= 300) {
-    throw protocol_error(
-        "apply of " + name + " failed with status " +
-            std::to_string(last.answer.status) + ": " + last.answer.body,
-        "read the logs in " + options_.log_folder);
+    throw protocol_error("apply of " + name + " failed with status " +
+                             std::to_string(last.answer.status) + ": " +
+                             last.answer.body,
+                         "read the logs in " + options_.log_folder);
   }
 }
 
--- a/tests/harness/include/harness.h
+++ b/tests/harness/include/harness.h
@@ -1,5 +1,5 @@
-// Starts entry hosts and stand-ins as separate processes on loopback addresses of their own, for
-// the system tests and the benchmark.
+// Starts entry hosts and stand-ins as separate processes on loopback addresses
+// of their own, for the system tests and the benchmark.
 #ifndef DOTTERELLEAD_TESTS_HARNESS_H_
 #define DOTTERELLEAD_TESTS_HARNESS_H_
 
@@ -20,7 +20,8 @@
 // A process that this one started. The destructor ends it by its id.
 class child_process {
  public:
-  // Standard error goes to `log_file`. Throws unavailable_error if it cannot be started.
+  // Standard error goes to `log_file`. Throws unavailable_error if it cannot be
+  // started.
   child_process(const std::vector<std::string>& command,
                 const std::vector<std::string>& environment,
                 const std::string& log_file);
@@ -29,7 +30,8 @@
   child_process& operator=(const child_process&) = delete;
 
   void Signal(int signal) const;
-  // Returns the exit code, or 128 plus the signal; nullopt if it still runs after `timeout`.
+  // Returns the exit code, or 128 plus the signal; nullopt if it still runs
+  // after `timeout`.
   std::optional<int> WaitForExit(milliseconds timeout);
   bool is_running();
   pid_t pid() const { return pid_; }
@@ -100,13 +102,15 @@
   std::size_t process = 0;
 };
 
-// A running system. Requests under /POOL/... go to that pool; GET is idempotent, POST is not.
+// A running system. Requests under /POOL/... go to that pool; GET is
+// idempotent, POST is not.
 class cluster {
  public:
   explicit cluster(cluster_options options);
   ~cluster();
 
-  // Starts everything, declares the pools and waits until every entry host serves them.
+  // Starts everything, declares the pools and waits until every entry host
+  // serves them.
   void Start();
 
   std::size_t entry_host_count() const { return entry_hosts_.size(); }
@@ -134,18 +138,21 @@
                       const std::string& method,
                       const std::string& target,
                       const std::string& body = "") const;
-  // Applies one JSON resource through entry host `i`; tries again for 10 s while unavailable.
-  // Throws protocol_error if it is not accepted.
+  // Applies one JSON resource through entry host `i`; tries again for 10 s
+  // while unavailable. Throws protocol_error if it is not accepted.
   void Apply(const std::string& kind,
              const std::string& name,
              const std::string& spec,
              std::size_t i = 0) const;
-  void SetDataCentreOut(const std::string& name, bool out, std::size_t i = 0) const;
+  void SetDataCentreOut(const std::string& name,
+                        bool out,
+                        std::size_t i = 0) const;
 
   backend_ledger Ledger(const server_handle& server) const;
   // Sum over all servers; maxima are maxima.
   backend_ledger TotalLedger() const;
-  void ControlBackend(const server_handle& server, const std::string& json) const;
+  void ControlBackend(const server_handle& server,
+                      const std::string& json) const;
   void ControlAllBackends(const std::string& json) const;
   void ControlPlatform(const std::string& json) const;
 
--- a/tests/system/system_faults_test.cc
+++ b/tests/system/system_faults_test.cc
@@ -9,13 +9,13 @@
 namespace dotterellead::harness {
 namespace {
 
-// The stated bounds for new work in a data centre that is out, and for a server that leaves.
+// The stated bounds for new work in a data centre that is out, and for a server
+// that leaves.
 constexpr milliseconds kOutBound{3'000};
 
 cluster_options FourHosts(const std::string& folder) {
-  cluster_options options{.entry_hosts = 4,
-                          .servers = {},
-                          .log_folder = folder};
+  cluster_options options{
+      .entry_hosts = 4, .servers = {}, .log_folder = folder};
   for (const char* data_centre : {"a", "b", "c"}) {
     options.servers.push_back({.pool = "pay",
                                .data_centre = data_centre,
@@ -55,7 +55,8 @@
 }
 
 // What callers were told must agree with what the backend servers ran.
-void CheckAtMostOnce(const cluster& c, const std::vector<bench::sample>& samples) {
+void CheckAtMostOnce(const cluster& c,
+                     const std::vector<bench::sample>& samples) {
   const backend_ledger total = c.TotalLedger();
   for (const auto& [key, runs] : total.runs_by_key)
     CHECK(runs == 1);
@@ -70,13 +71,14 @@
   }
 }
 
-// Guards against lost requests that were not in flight on the killed host, and against a key that
-// runs twice after its host died.
+// Guards against lost requests that were not in flight on the killed host, and
+// against a key that runs twice after its host died.
 TEST_CASE("a killed entry host loses only what was in flight on it") {
   cluster c(FourHosts("out-kill"));
   c.Start();
   bench::load_options load = Load(c, 200, 6);
-  load.targets = {c.caller_address(0), c.caller_address(2), c.caller_address(3)};
+  load.targets = {c.caller_address(0), c.caller_address(2),
+                  c.caller_address(3)};
   load.post_per_mille = 300;
   const std::vector<bench::sample> samples =
       RunWithFault(load, [&] { c.entry_host(1).Signal(SIGKILL); });
@@ -88,8 +90,10 @@
   CHECK(c.TotalLedger().exceeded == 0);
 }
 
-// Guards against a paused host that sends on leases which have passed to others.
-TEST_CASE("a paused and resumed entry host exceeds no slots and runs no key twice") {
+// Guards against a paused host that sends on leases which have passed to
+// others.
+TEST_CASE(
+    "a paused and resumed entry host exceeds no slots and runs no key twice") {
   cluster c(FourHosts("out-pause"));
   c.Start();
   bench::load_options load = Load(c, 200, 12);
@@ -105,8 +109,10 @@
   CHECK(c.TotalLedger().exceeded == 0);
 }
 
-// Guards against idempotent work that stops without the log, and against a false "not run".
-TEST_CASE("with the log down reads are served and payments are refused as not run") {
+// Guards against idempotent work that stops without the log, and against a
+// false "not run".
+TEST_CASE(
+    "with the log down reads are served and payments are refused as not run") {
   cluster c(FourHosts("out-log"));
   c.Start();
   c.ControlPlatform(R"({"outage":"all"})");
@@ -124,7 +130,8 @@
   CheckAtMostOnce(c, samples);
   // Payments work again once the log is back.
   CHECK(WaitFor(milliseconds(5'000), [&] {
-    return c.Call(0, "POST", "/pay/x", {{"Idempotency-Key", MakeKey()}}, "1").answer.status == 200;
+    return c.Call(0, "POST", "/pay/x", {{"Idempotency-Key", MakeKey()}}, "1")
+               .answer.status == 200;
   }));
 }
 
@@ -145,49 +152,52 @@
   CheckAtMostOnce(c, samples);
 }
 
-// Guards against new work for a data centre after the bound, and against overload on its return.
-TEST_CASE("a data centre taken out gets no new work after the bound, and returns") {
+// Guards against new work for a data centre after the bound, and against
+// overload on its return.
+TEST_CASE(
+    "a data centre taken out gets no new work after the bound, and returns") {
   cluster c(FourHosts("out-dc"));
   c.Start();
   std::int64_t out_ms = 0;
-  const std::vector<bench::sample> samples =
-      RunWithFault(Load(c, 150, 9), [&] {
-        c.SetDataCentreOut("b", true, 0);
-        out_ms = system_clock_source().Now().wall.value;
-        std::this_thread::sleep_for(kOutBound + milliseconds(1'000));
-        for (const server_handle& server : c.servers()) {
-          if (server.data_centre == "b")
-            CHECK(c.Ledger(server).last_arrival_ms < out_ms + kOutBound.count());
-        }
-        c.SetDataCentreOut("b", false, 1);
-      });
+  const std::vector<bench::sample> samples = RunWithFault(Load(c, 150, 9), [&] {
+    c.SetDataCentreOut("b", true, 0);
+    out_ms = system_clock_source().Now().wall.value;
+    std::this_thread::sleep_for(kOutBound + milliseconds(1'000));
+    for (const server_handle& server : c.servers()) {
+      if (server.data_centre == "b")
+        CHECK(c.Ledger(server).last_arrival_ms < out_ms + kOutBound.count());
+    }
+    c.SetDataCentreOut("b", false, 1);
+  });
   for (const bench::sample& s : samples)
     CHECK(s.ok());
   const std::int64_t now = system_clock_source().Now().wall.value;
   int busy_again = 0;
   for (const server_handle& server : c.servers()) {
-    if (server.data_centre == "b" && now - c.Ledger(server).last_arrival_ms < 3'000)
+    if (server.data_centre == "b" &&
+        now - c.Ledger(server).last_arrival_ms < 3'000)
       ++busy_again;
   }
   CHECK(busy_again > 0);
   CHECK(c.TotalLedger().exceeded == 0);
 }
 
-// Guards against requests lost with a backend server that dies, and against full load on its cold
-// return.
-TEST_CASE("a killed backend server costs no idempotent request and returns cold") {
+// Guards against requests lost with a backend server that dies, and against
+// full load on its cold return.
+TEST_CASE(
+    "a killed backend server costs no idempotent request and returns cold") {
   cluster_options options = FourHosts("out-backend");
   for (server_group& group : options.servers)
-    group.behaviour = R"({"service_us":5000,"cold_runs":20,"cold_service_us":10000})";
+    group.behaviour =
+        R"({"service_us":5000,"cold_runs":20,"cold_service_us":10000})";
   cluster c(options);
   c.Start();
-  const std::vector<bench::sample> samples =
-      RunWithFault(Load(c, 150, 8), [&] {
-        c.backend_process(0).Signal(SIGKILL);
-        c.backend_process(0).WaitForExit(milliseconds(2'000));
-        std::this_thread::sleep_for(milliseconds(2'000));
-        c.RestartBackendProcess(0);
-      });
+  const std::vector<bench::sample> samples = RunWithFault(Load(c, 150, 8), [&] {
+    c.backend_process(0).Signal(SIGKILL);
+    c.backend_process(0).WaitForExit(milliseconds(2'000));
+    std::this_thread::sleep_for(milliseconds(2'000));
+    c.RestartBackendProcess(0);
+  });
   for (const auto& [result, count] : bench::CountResults(samples))
     MESSAGE(result << ": " << count);
   for (const bench::sample& s : samples)
@@ -199,14 +209,16 @@
 }
 
 // Guards against a request that takes down one server after another.
-TEST_CASE("a crashing request costs at most two servers, its resends included") {
+TEST_CASE(
+    "a crashing request costs at most two servers, its resends included") {
   cluster_options options = FourHosts("out-crash");
   for (server_group& group : options.servers)
     group.behaviour = R"({"service_us":5000,"crash_on_marker":true})";
   cluster c(options);
   c.Start();
   for (int resend = 0; resend < 12; ++resend) {
-    const send_result r = c.Call(static_cast<std::size_t>(resend) % 4, "GET", "/pay/x", {}, "crash");
+    const send_result r = c.Call(static_cast<std::size_t>(resend) % 4, "GET",
+                                 "/pay/x", {}, "crash");
     CHECK((r.ok() && r.answer.status >= 500));
   }
   int lost = 0;
--- a/tests/system/system_path_test.cc
+++ b/tests/system/system_path_test.cc
@@ -11,9 +11,18 @@
 
 cluster_options ThreeHosts() {
   return {.entry_hosts = 3,
-          .servers = {{.pool = "pay", .data_centre = "a", .count = 2, .behaviour = R"({"service_us":2000})"},
-                      {.pool = "pay", .data_centre = "b", .count = 2, .behaviour = R"({"service_us":2000})"},
-                      {.pool = "pay", .data_centre = "c", .count = 2, .behaviour = R"({"service_us":2000})"}},
+          .servers = {{.pool = "pay",
+                       .data_centre = "a",
+                       .count = 2,
+                       .behaviour = R"({"service_us":2000})"},
+                      {.pool = "pay",
+                       .data_centre = "b",
+                       .count = 2,
+                       .behaviour = R"({"service_us":2000})"},
+                      {.pool = "pay",
+                       .data_centre = "c",
+                       .count = 2,
+                       .behaviour = R"({"service_us":2000})"}},
           .log_folder = "out-path"};
 }
 
@@ -26,8 +35,8 @@
   return load;
 }
 
-// Guards against a path that works in parts only: every host serves every server, and none beyond
-// its slots.
+// Guards against a path that works in parts only: every host serves every
+// server, and none beyond its slots.
 TEST_CASE("requests of both kinds are served through every entry host") {
   cluster c(ThreeHosts());
   c.Start();
@@ -37,7 +46,8 @@
   const std::vector<bench::sample> samples = bench::RunLoad(load);
   for (const auto& [result, count] : bench::CountResults(samples))
     MESSAGE(result << ": " << count);
-  CHECK(std::all_of(samples.begin(), samples.end(), [](const bench::sample& s) { return s.ok(); }));
+  CHECK(std::all_of(samples.begin(), samples.end(),
+                    [](const bench::sample& s) { return s.ok(); }));
   const backend_ledger total = c.TotalLedger();
   CHECK(total.exceeded == 0);
   CHECK(total.max_in_flight <= 2);
@@ -53,17 +63,22 @@
   c.Start();
   const std::string key = MakeKey();
   const http_headers headers = {{"Idempotency-Key", key}};
-  const send_result first = c.Call(0, "POST", "/pay/transfer", headers, "amount=5");
+  const send_result first =
+      c.Call(0, "POST", "/pay/transfer", headers, "amount=5");
   REQUIRE(first.answer.status == 200);
   for (std::size_t i = 0; i < 3; ++i) {
-    const send_result again = c.Call(i, "POST", "/pay/transfer", headers, "amount=5");
+    const send_result again =
+        c.Call(i, "POST", "/pay/transfer", headers, "amount=5");
     CHECK(again.answer.status == 200);
     CHECK(again.answer.body == first.answer.body);
-    CHECK(c.Call(i, "POST", "/pay/transfer", headers, "amount=6").answer.status == 422);
+    CHECK(
+        c.Call(i, "POST", "/pay/transfer", headers, "amount=6").answer.status ==
+        422);
   }
   CHECK(c.TotalLedger().runs_by_key.at(key) == 1);
-  const send_result old = c.Call(0, "POST", "/pay/transfer",
-                                 {{"Idempotency-Key", MakeKey(milliseconds(1'000'000'000))}}, "x");
+  const send_result old =
+      c.Call(0, "POST", "/pay/transfer",
+             {{"Idempotency-Key", MakeKey(milliseconds(1'000'000'000))}}, "x");
   CHECK(old.answer.status >= 400);
   // Its claim may have left the log, so that nobody can tell whether it ran.
   CHECK(*FindHeader(old.answer.headers, "dotterellead-run") == "unknown");
@@ -91,24 +106,25 @@
   CHECK(exit_code == 0);
   for (const bench::sample& s : samples)
     CHECK(s.ok());
-  // Requests that reach the leaving host before it closes are answered; later ones find no
-  // listener, which tells their callers that nothing ran.
+  // Requests that reach the leaving host before it closes are answered; later
+  // ones find no listener, which tells their callers that nothing ran.
   for (const bench::sample& s : on_stopping)
     CHECK((s.ok() || s.status == 0));
   CHECK(on_stopping.front().ok());
   CHECK(c.TotalLedger().cancelled == 0);
 }
 
-// Guards against a second process that silently shares a port, and against settings that are
-// checked only when they are used.
+// Guards against a second process that silently shares a port, and against
+// settings that are checked only when they are used.
 TEST_CASE("a port in use is an error at start") {
   cluster c(ThreeHosts());
   c.Start();
   cluster_options same = ThreeHosts();
   CHECK(c.entry_host(0).is_running());
   const std::string address = c.caller_address(0).ToString();
-  http_listener second({.address = ParseSocketAddress(address)},
-                       [](const http_request&, const http_peer&) { return http_answer{}; });
+  http_listener second(
+      {.address = ParseSocketAddress(address)},
+      [](const http_request&, const http_peer&) { return http_answer{}; });
   CHECK_THROWS_AS(second.Start(), unavailable_error);
 }
 
