--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -36,6 +36,8 @@
   int socket = -1;
   std::uint64_t connection_number = 0;
   http_headers headers;
+  // The body of a method for which the library expects none.
+  std::string early_body;
   int refusal_status = 0;
   std::string refusal;
   bool close_after = false;
@@ -187,6 +189,44 @@
   request.ranges.clear();
 }
 
+// The methods whose body httplib reads.
+bool LibraryReadsBody(const std::string& method) {
+  return method == "POST" || method == "PUT" || method == "PATCH" ||
+         method == "PRI" || method == "DELETE";
+}
+
+// httplib leaves the body of other methods on the connection, where it would
+// pass for the next request, and waits for the connection's end if a body has
+// no length. Both are settled here.
+void SettleBody(httplib::Request& request,
+                socket_stream& stream,
+                call_context& call) {
+  if (call.refusal_status != 0)
+    return;
+  const bool has_length = request.has_header("Content-Length");
+  const bool chunked = request.has_header("Transfer-Encoding");
+  if (LibraryReadsBody(request.method)) {
+    if (!has_length && !chunked)
+      request.set_header("Content-Length", "0");
+    return;
+  }
+  if (chunked)
+    return Refuse(call, 501,
+                  "send the body of this method with Content-Length");
+  if (!has_length)
+    return;
+  call.early_body.resize(
+      std::stoull(request.get_header_value("Content-Length")));
+  std::size_t got = 0;
+  while (got < call.early_body.size()) {
+    const ssize_t n =
+        stream.read(call.early_body.data() + got, call.early_body.size() - got);
+    if (n <= 0)
+      return Refuse(call, 400, "the body ended early");
+    got += static_cast<std::size_t>(n);
+  }
+}
+
 }  // namespace
 
 class http_listener::impl : public httplib::Server {
@@ -272,7 +312,9 @@
     call.method = request.method;
     call.target = request.target;
     call.headers = std::move(current_call->headers);
-    call.body = request.body;
+    call.body = current_call->early_body.empty()
+                    ? request.body
+                    : std::move(current_call->early_body);
     http_answer answer = handle_(
         call,
         socket_peer(current_call->socket, current_call->connection_number));
@@ -314,6 +356,7 @@
         stream, closing_, connection_closed, [&](httplib::Request& request) {
           stream.EndHeaders();
           CheckFraming(request, options_.max_body, call);
+          SettleBody(request, stream, call);
           TakeHeaders(request, call);
         });
     current_call = nullptr;
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -88,6 +88,28 @@
   CHECK(server.calls == 0);
 }
 
+// Guards against a body that passes for the next request, and against waiting
+// for a body that was never announced.
+TEST_CASE("a body belongs to its request whatever the method") {
+  echo_server server;
+  server.listener.Start();
+  http_connection connection(server.listener.address());
+  for (const std::string method : {"GET", "OPTIONS", "DELETE", "POST"}) {
+    const send_result r = connection.Send(
+        {method, "/", {}, "GET /evil HTTP/1.1\r\n\r\n"}, kTimeout);
+    CHECK(r.answer.body == method + " / GET /evil HTTP/1.1\r\n\r\n");
+  }
+  CHECK(server.calls == 4);
+  for (const std::string method : {"POST", "DELETE", "PUT"}) {
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string answer =
+        Exchange(server.listener.address(),
+                 method + " / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
+    CHECK(std::chrono::steady_clock::now() - begin < milliseconds(1'000));
+  }
+}
+
 // Guards against a second process silently sharing a port.
 TEST_CASE("a port in use is an error at start") {
   echo_server first;
