--- a/packages/balance/src/holder_leases.cc
+++ b/packages/balance/src/holder_leases.cc
@@ -206,6 +206,7 @@
   std::sort(ranks.begin(), ranks.end());
   ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
   std::vector<member_id> homes;
+  homes.reserve(ranks.size());
   for (const rank& r : ranks)
     homes.push_back(std::get<member_id>(r));
   return homes;
--- a/packages/balance/tests/balance_codec_test.cc
+++ b/packages/balance/tests/balance_codec_test.cc
@@ -5,8 +5,8 @@
 namespace dotterellead {
 namespace {
 
-const lease_ref kLease{server_id("10.0.0.1:80"), slot_index(1),
-                       1'764'846'000'001};
+const lease_ref sample_lease{server_id("10.0.0.1:80"), slot_index(1),
+                             1'764'846'000'001};
 
 const std::vector<balance_peer_message>& Samples() {
   static const std::vector<balance_peer_message> samples = {
@@ -16,24 +16,25 @@
                  epoch_number(2),
                  pool_id("p"),
                  version_id("v2"),
-                 {{kLease, milliseconds(400), true, 9}},
+                 {{sample_lease, milliseconds(400), true, 9}},
                  4,
                  0},
-      slot_recall{{kLease}, 1, true},
-      slot_return{{kLease, kLease}},
-      renewal{incarnation_id(5), 2, {{kLease, true}}},
+      slot_recall{{sample_lease}, 1, true},
+      slot_return{{sample_lease, sample_lease}},
+      renewal{incarnation_id(5), 2, {{sample_lease, true}}},
       renewed{incarnation_id(5),
               2,
-              {kLease},
-              {{kLease.server, 7}},
+              {sample_lease},
+              {{sample_lease.server, 7}},
               {{pool_id("p"), 4}}},
-      server_news{kLease.server, true, false, 7},
-      server_notice{kLease.server, true, true, 8},
-      handover_offer{epoch_number(3), {kLease.server}},
-      handover_accept{epoch_number(3), incarnation_id(6), {kLease.server}},
+      server_news{sample_lease.server, true, false, 7},
+      server_notice{sample_lease.server, true, true, 8},
+      handover_offer{epoch_number(3), {sample_lease.server}},
+      handover_accept{
+          epoch_number(3), incarnation_id(6), {sample_lease.server}},
       handover{epoch_number(3),
                incarnation_id(6),
-               {{kLease.server,
+               {{sample_lease.server,
                  12,
                  true,
                  false,
--- a/packages/balance/tests/balance_handover_test.cc
+++ b/packages/balance/tests/balance_handover_test.cc
@@ -7,24 +7,24 @@
 
 using std::chrono::seconds;
 
-const member_id kSelf("a");
-const member_id kOther("b");
-const member_id kHolder("x");
-const server_id kServer("s");
+const member_id self_member("a");
+const member_id other_member("b");
+const member_id holder_member("x");
+const server_id only_server("s");
 
 // One entry host that may be a home; the test plays all others.
 struct lone_home {
   lone_home()
-      : machine({.self = kSelf,
+      : machine({.self = self_member,
                  .incarnation = incarnation_id(5),
                  .standalone = false}) {
     auto view = std::make_shared<config_view>();
     view->pools[pool_id("p")].spec.servers = {
-        {.address = kServer, .slots = 3, .cold_slots = 3}};
+        {.address = only_server, .slots = 3, .cold_slots = 3}};
     Step(config_changed{view});
     now += seconds(10);
   }
-  std::vector<balance_peer_message> Step(balance_machine::message m) {
+  std::vector<balance_peer_message> Step(const balance_machine::message& m) {
     std::vector<balance_machine::effect> effects;
     machine.Step(m, {now, {}}, effects);
     std::vector<balance_peer_message> sent;
@@ -47,17 +47,17 @@
   std::size_t Request(std::uint32_t count) {
     const std::size_t before = granted;
     Step(balance_received{
-        kHolder, slot_request{incarnation_id(1), ++sequence, pool_id("p"),
-                              version_id(), count, 0}});
+        holder_member, slot_request{incarnation_id(1), ++sequence, pool_id("p"),
+                                    version_id(), count, 0}});
     return granted - before;
   }
   // Slots lent according to the table that an acceptance brings, if any.
   std::optional<std::size_t> Accept(std::uint64_t epoch,
                                     std::uint64_t incarnation) {
     const auto sent = Step(balance_received{
-        kOther,
+        other_member,
         handover_accept{
-            epoch_number(epoch), incarnation_id(incarnation), {kServer}}});
+            epoch_number(epoch), incarnation_id(incarnation), {only_server}}});
     if (sent.empty())
       return std::nullopt;
     return std::get<handover>(sent.at(0)).tables.at(0).lent.size();
@@ -72,10 +72,10 @@
 // Guards against two homes that both believe they have the newest table.
 TEST_CASE("a lease table goes to one incarnation while the right lasts") {
   lone_home h;
-  h.Enter(1, kSelf);
+  h.Enter(1, self_member);
   h.GiveRight(1, h.now - seconds(60));
   CHECK(h.Request(2) == 2);
-  h.Enter(2, kOther);
+  h.Enter(2, other_member);
   REQUIRE(h.offers.size() == 1);
   CHECK(std::get<handover_offer>(h.offers[0]).servers.size() == 1);
   CHECK(h.Request(1) == 0);
@@ -89,17 +89,17 @@
 // Guards against a table that another home has lent from in between.
 TEST_CASE("a home that missed an epoch keeps and hands over nothing") {
   for (const std::uint64_t next : {2, 3}) {
-    for (const member_id& home : {kSelf, kOther}) {
+    for (const member_id& home : {self_member, other_member}) {
       CAPTURE(next);
       lone_home h;
-      h.Enter(1, kSelf);
+      h.Enter(1, self_member);
       h.GiveRight(1, h.now - seconds(60));
       CHECK(h.Request(1) == 1);
       h.Enter(next, home);
       h.GiveRight(next, std::nullopt);
       const bool keeps = next == 2;
-      CHECK(h.offers.empty() == !(keeps && home == kOther));
-      CHECK(h.Request(1) == (keeps && home == kSelf ? 1 : 0));
+      CHECK(h.offers.empty() == !(keeps && home == other_member));
+      CHECK(h.Request(1) == (keeps && home == self_member ? 1 : 0));
     }
   }
 }
@@ -108,19 +108,19 @@
 // another epoch, or after it has lent slots itself.
 TEST_CASE("a home takes over only the table sent to it in this epoch") {
   lone_home h;
-  h.Enter(2, kSelf);
+  h.Enter(2, self_member);
   h.GiveRight(2, std::nullopt);
   CHECK(h.Request(1) == 0);
-  const lease_table table{
-      kServer,
-      9,
-      false,
-      false,
-      0,
-      {{slot_index(0), kOther, 9, milliseconds(900), milliseconds(2'000)}}};
+  const lease_table table{only_server,
+                          9,
+                          false,
+                          false,
+                          0,
+                          {{slot_index(0), other_member, 9, milliseconds(900),
+                            milliseconds(2'000)}}};
   const auto take_over = [&](std::uint64_t epoch, std::uint64_t incarnation) {
     h.Step(balance_received{
-        kOther,
+        other_member,
         handover{epoch_number(epoch), incarnation_id(incarnation), {table}}});
   };
   take_over(2, 4);
@@ -144,7 +144,7 @@
 // Guards against repeated requests that take slots nobody uses.
 TEST_CASE("a repeated request is granted once") {
   lone_home h;
-  h.Enter(1, kSelf);
+  h.Enter(1, self_member);
   h.GiveRight(1, h.now - seconds(60));
   CHECK(h.Request(1) == 1);
   --h.sequence;
--- a/packages/balance/tests/balance_machine_test.cc
+++ b/packages/balance/tests/balance_machine_test.cc
@@ -14,7 +14,7 @@
 struct single_host {
   explicit single_host(std::uint32_t slots = 2,
                        std::uint32_t queue_length = 4,
-                       balance_options options = {})
+                       const balance_options& options = {})
       : machine(options) {
     auto view = std::make_shared<config_view>();
     pool_spec& pool = view->pools[pool_id("p")].spec;
@@ -25,7 +25,7 @@
                      .cold_slots = 1}};
     Step(config_changed{view});
   }
-  std::vector<balance_machine::effect> Step(balance_machine::message m) {
+  std::vector<balance_machine::effect> Step(const balance_machine::message& m) {
     std::vector<balance_machine::effect> effects;
     machine.Step(m, {now, {}}, effects);
     return effects;
@@ -107,6 +107,19 @@
   }
 }
 
+// Guards against a slot that is used after its lease, when a pause kept the
+// holder from renewing it.
+TEST_CASE("an idle lease is not assigned once it has expired") {
+  single_host h(1);
+  h.Acquire(1);
+  h.Answer(1, false);
+  h.now += limits::kLeaseTimeToLive;
+  CHECK(Only<assigned>(h.Acquire(2)).empty());
+  const auto after = Only<assigned>(h.Step(tick{}));
+  REQUIRE(after.size() == 1);
+  CHECK(after[0].send_before > h.now);
+}
+
 // Guards against waiting without end or without bound.
 TEST_CASE("requests that cannot be served are refused with the reason") {
   single_host h(1, 2);
@@ -166,6 +179,7 @@
 // that moves homes it need not move.
 TEST_CASE("homes are near, spread, and stay when another member leaves") {
   std::vector<home_candidate> members;
+  members.reserve(12);
   for (int i = 0; i < 12; ++i)
     members.push_back({member_id("h" + std::to_string(i)),
                        data_centre_id(i % 2 == 0 ? "a" : "b")});
--- /dev/null
+++ b/packages/balance/tests/fake_parts.h
@@ -0,0 +1,85 @@
+// Settings, hosts, servers and counts of the fake cluster.
+#ifndef DOTTERELLEAD_TESTS_FAKE_PARTS_H_
+#define DOTTERELLEAD_TESTS_FAKE_PARTS_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "dotterellead/balance.h"
+
+namespace dotterellead {
+
+using std::chrono::seconds;
+
+// Probabilities are per message; delays are one way.
+struct network_quality {
+  double drop = 0;
+  double repeat = 0;
+  microseconds least_delay{300};
+  microseconds most_delay{700};
+};
+
+struct cluster_options {
+  int hosts = 5;
+  int servers = 6;
+  std::uint32_t slots = 2;
+  std::uint32_t cold_slots = 1;
+  milliseconds max_run{400};
+  microseconds mean_run{25'000};
+  // Requests per second on each host.
+  double rate = 60;
+  milliseconds patience{2'000};
+  choice_policy_kind policy = choice_policy_kind::kLeased;
+  network_quality network;
+  std::uint64_t seed = 1;
+  // How long hosts may take to hear that a server is doubtful.
+  milliseconds news_time{100};
+};
+
+struct fake_server {
+  server_spec spec;
+  std::uint32_t in_flight = 0;
+  std::uint32_t most_in_flight = 0;
+  // Requests that wait on the server for a slot; only baselines cause them.
+  std::deque<std::function<void()>> queued;
+  int boot = 0;
+  bool cold = false;
+  bool draining = false;
+  bool down = false;
+  int answers_since_boot = 0;
+  // When a host first saw that the server is cold, since the last restart.
+  std::optional<time_point> known_cold_at;
+  // Requests sent since hosts had time to hear of it.
+  std::uint32_t cold_in_flight = 0;
+};
+
+struct fake_host {
+  home_candidate candidate;
+  incarnation_id incarnation{0};
+  std::optional<balance_machine> machine;
+  // The host's clock is ahead of the cluster's by this.
+  seconds clock_offset{0};
+  bool paused = false;
+  std::deque<std::function<void()>> while_paused;
+  epoch_number epoch;
+  bool takes_calls = true;
+  balance_report report;
+};
+
+struct cluster_counts {
+  std::uint64_t assigned = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t slots_exceeded = 0;
+  std::uint64_t cold_exceeded = 0;
+  std::uint64_t sent_to_draining = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+  std::uint64_t expired_sends_stopped = 0;
+  std::map<server_id, std::uint64_t> by_server;
+};
+
+}  // namespace dotterellead
+
+#endif  // DOTTERELLEAD_TESTS_FAKE_PARTS_H_
