--- a/packages/admission/include/dotterellead/admission.h
+++ b/packages/admission/include/dotterellead/admission.h
@@ -19,32 +19,6 @@
 
 namespace dotterellead {
 
-// Identifies requests that are alike: route, tenant, target and body.
-using request_fingerprint = number_id<struct request_fingerprint_tag>;
-
-namespace limits {
-
-// A lone request may retry even before its pool has earned a whole retry: up to
-// this many are refilled, one per kRetryFloorInterval.
-inline constexpr std::uint32_t kRetryFloor = 3;
-inline constexpr milliseconds kRetryFloorInterval{1'000};
-// The most unused retries a pool can save up.
-inline constexpr std::uint32_t kRetryCap = 50;
-// How long a crash waits for peers to acknowledge the strike.
-inline constexpr milliseconds kStrikeWait{200};
-// How long a crashed request waits for its turn to be tried again.
-inline constexpr milliseconds kCrashRetryWait{1'000};
-// A fingerprint with one lost server is watched for this long.
-inline constexpr seconds kStrikeMemory{600};
-// Serial runs without a crash after which a strike is taken back.
-inline constexpr std::uint32_t kRunsToClear = 3;
-inline constexpr std::size_t kMaxStruckFingerprints = 4096;
-inline constexpr std::size_t kMaxWaitingPerFingerprint = 64;
-inline constexpr std::size_t kMaxRetryPools = 1024;
-inline constexpr milliseconds kAdmissionTick{20};
-
-}  // namespace limits
-
 // ---- Messages between hosts
 // -------------------------------------------------------------------
 
--- a/packages/balance/src/holder_leases.cc
+++ b/packages/balance/src/holder_leases.cc
@@ -165,6 +165,24 @@
     AskHome(pool, version, count, homes[i], step);
 }
 
+// Spare slots elsewhere would otherwise keep requests away from a local server
+// that has just returned, at the price of the way between data centres.
+void holder_role::AskLocal(step_context& step) {
+  for (auto& [name, pool] : pools_) {
+    const pool_info* info = servers_.FindPool(name);
+    if (!std::exchange(pool.used_other_data_centre, false) || info == nullptr)
+      continue;
+    for (const server_id& id : info->servers) {
+      const server_state& s = *servers_.Find(id);
+      if (s.takes_work() && s.home.is_valid() && !leases_.contains(id) &&
+          s.spec.data_centre == servers_.options().data_centre) {
+        AskHome(name, version_id(), 1, s.home, step);
+        break;
+      }
+    }
+  }
+}
+
 void holder_role::AskHome(const pool_id& pool,
                           const version_id& version,
                           std::uint32_t count,
--- a/packages/balance/src/holder_role.cc
+++ b/packages/balance/src/holder_role.cc
@@ -146,8 +146,10 @@
     ServeWaiting(name, step);
   }
   ForgetSent(step.now);
-  if (policy_->uses_leases() && step.now >= next_renewal_)
+  if (policy_->uses_leases() && step.now >= next_renewal_) {
+    AskLocal(step);
     Renew(step);
+  }
 }
 
 // ---- Assignment
@@ -241,6 +243,8 @@
       break;
     }
   }
+  if (s.spec.data_centre != servers_.options().data_centre)
+    pools_[m.pool].used_other_data_centre = true;
   ++s.own_in_flight;
   in_use_[m.request] = {m.pool, server,   a.slot,
                         serial, step.now, a.send_before + a.max_run};
--- a/packages/balance/src/holder_role.h
+++ b/packages/balance/src/holder_role.h
@@ -74,6 +74,8 @@
   struct pool_state {
     wait_queue queue;
     std::map<version_id, ask_state> asks;
+    // A request went to another data centre since the last renewal.
+    bool used_other_data_centre = false;
   };
   struct sent_message {
     time_point at;
@@ -131,6 +133,9 @@
               const granted_lease& granted,
               time_point sent_at,
               step_context& step);
+  // Asks the home of a server of the own data centre for a slot, for each pool
+  // whose requests went to another data centre although it has such servers.
+  void AskLocal(step_context& step);
   void Renew(step_context& step);
   const sent_message* FindSent(incarnation_id incarnation,
                                std::uint64_t sequence) const;
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -77,6 +77,8 @@
 using epoch_number = number_id<struct epoch_tag>;
 // One of a server's concurrent requests, counted from 0.
 using slot_index = number_id<struct slot_tag>;
+// Identifies requests that are alike: pool, tenant, method, target and body.
+using request_fingerprint = number_id<struct request_fingerprint_tag>;
 using idempotency_key = text_id<struct idempotency_key_tag>;
 
 // ---- Units
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -62,6 +62,47 @@
 inline constexpr std::uint32_t kServersLostBeforeQuarantine = 2;
 inline constexpr seconds kQuarantineTime{60};
 
+// Admission.
+// A lone request may retry even before its pool has earned a whole retry: up to
+// this many are refilled, one per kRetryFloorInterval.
+inline constexpr std::uint32_t kRetryFloor = 3;
+inline constexpr milliseconds kRetryFloorInterval{1'000};
+// The most unused retries a pool can save up.
+inline constexpr std::uint32_t kRetryCap = 50;
+// How long a crash waits for peers to acknowledge the strike.
+inline constexpr milliseconds kStrikeWait{200};
+// How long a crashed request waits for its turn to be tried again.
+inline constexpr milliseconds kCrashRetryWait{1'000};
+// A fingerprint with one lost server is watched for this long.
+inline constexpr seconds kStrikeMemory{600};
+// Serial runs without a crash after which a strike is taken back.
+inline constexpr std::uint32_t kRunsToClear = 3;
+inline constexpr std::size_t kMaxStruckFingerprints = 4096;
+inline constexpr std::size_t kMaxWaitingPerFingerprint = 64;
+inline constexpr std::size_t kMaxRetryPools = 1024;
+inline constexpr milliseconds kAdmissionTick{20};
+
+// Measuring, beyond the interval above.
+// A load report of this age or older has no weight.
+inline constexpr milliseconds kMaxReportAge{2'000};
+// The most unused probe time a home saves up, in intervals.
+inline constexpr std::int64_t kMaxSavedProbes = 4;
+// Probes in a row that run out of time before the server is suspected.
+inline constexpr std::uint32_t kSlowProbesBeforeSuspect = 3;
+// The longest time of one probe. Shorter than the wait of a new home, so that a
+// probe of the former home has ended by then.
+inline constexpr milliseconds kMaxProbeTime{300};
+// A probe without an outcome this long after its time limit is given up.
+inline constexpr milliseconds kProbeOutcomeMargin{200};
+static_assert(kMaxProbeTime + kProbeOutcomeMargin < kProbeInterval);
+inline constexpr milliseconds kMeasureTick{50};
+
+// Metrics.
+// Classes beyond this number are counted together under the label "other".
+inline constexpr std::size_t kMaxRequestClasses = 512;
+// Label values of one counter family, the same.
+inline constexpr std::size_t kMaxCounterLabels = 512;
+
 // Graceful shutdown.
 inline constexpr milliseconds kShutdownGrace{10'000};
 
--- a/packages/measure/include/dotterellead/measure.h
+++ b/packages/measure/include/dotterellead/measure.h
@@ -13,24 +13,6 @@
 
 namespace dotterellead {
 
-namespace limits {
-
-// A load report of this age or older has no weight.
-inline constexpr milliseconds kMaxReportAge{2'000};
-// The most unused probe time a home saves up, in intervals.
-inline constexpr std::int64_t kMaxSavedProbes = 4;
-// Probes in a row that run out of time before the server is suspected.
-inline constexpr std::uint32_t kSlowProbesBeforeSuspect = 3;
-// The longest time of one probe. Shorter than the wait of a new home, so that a
-// probe of the former home has ended by then.
-inline constexpr milliseconds kMaxProbeTime{300};
-// A probe without an outcome this long after its time limit is given up.
-inline constexpr milliseconds kProbeOutcomeMargin{200};
-static_assert(kMaxProbeTime + kProbeOutcomeMargin < kProbeInterval);
-inline constexpr milliseconds kMeasureTick{50};
-
-}  // namespace limits
-
 // ---- Messages
 // ---------------------------------------------------------------------------------
 
--- a/packages/metrics/include/dotterellead/metrics.h
+++ b/packages/metrics/include/dotterellead/metrics.h
@@ -12,15 +12,6 @@
 
 namespace dotterellead {
 
-namespace limits {
-
-// Classes beyond this number are counted together under the label "other".
-inline constexpr std::size_t kMaxRequestClasses = 512;
-// Label values of one counter family, the same.
-inline constexpr std::size_t kMaxCounterLabels = 512;
-
-}  // namespace limits
-
 // Families of event counters; each has one label.
 enum class counter_family {
   // By result, as to_string(attempt_result) or any short text.
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -70,9 +70,6 @@
   virtual void Void(const idempotency_key& key) = 0;
 };
 
-// Identifies requests that are alike: route, tenant, target and body.
-using request_fingerprint = number_id<struct request_fingerprint_tag>;
-
 // Retry budgets and the quarantine of requests that crash servers.
 class admission_gate {
  public:
