--- a/tests/system/system_moves_test.cc
+++ b/tests/system/system_moves_test.cc
@@ -10,12 +10,15 @@
 namespace dotterellead::harness {
 namespace {
 
-// The stated bounds for a bad version: its share of requests, and the time to its last request.
+// The stated bounds for a bad version: its share of requests, and the time to
+// its last request.
 constexpr double kBadShare = 0.05;
 constexpr std::int64_t kBadEndsMs = 5'000;
 
-cluster_options TwoVersions(const std::string& folder, const std::string& new_behaviour) {
-  cluster_options options{.entry_hosts = 3, .servers = {}, .log_folder = folder};
+cluster_options TwoVersions(const std::string& folder,
+                            const std::string& new_behaviour) {
+  cluster_options options{
+      .entry_hosts = 3, .servers = {}, .log_folder = folder};
   for (const char* data_centre : {"a", "b", "c"}) {
     options.servers.push_back({.pool = "pay",
                                .data_centre = data_centre,
@@ -32,9 +35,11 @@
 
 void StartMove(const cluster& c, int deadline_s) {
   const std::int64_t now = system_clock_source().Now().wall.value;
-  c.Apply("move", "pay-v2",
-          fmt::format(R"({{"pool":"pay","from_version":"v1","to_version":"v2","deadline_unix_ms":{}}})",
-                      now + 1'000 * deadline_s));
+  c.Apply(
+      "move", "pay-v2",
+      fmt::format(
+          R"({{"pool":"pay","from_version":"v1","to_version":"v2","deadline_unix_ms":{}}})",
+          now + 1'000 * deadline_s));
 }
 
 std::vector<bench::sample> RunLoad(const cluster& c, int seconds) {
@@ -47,8 +52,8 @@
 }
 
 bool HasVerdict(const cluster& c, const std::string& verdict) {
-  return c.Operate(0, "GET", "/v1/status").answer.body.find("\"" + verdict + "\"") !=
-         std::string::npos;
+  return c.Operate(0, "GET", "/v1/status")
+             .answer.body.find("\"" + verdict + "\"") != std::string::npos;
 }
 
 // Runs and last arrival of the new version's servers.
@@ -72,7 +77,8 @@
   };
   const row rows[] = {
       {"fails", R"({"service_us":5000,"fail_per_mille":500})"},
-      {"fails-fast", R"({"service_us":5000,"fail_per_mille":1000,"fail_fast":true})"},
+      {"fails-fast",
+       R"({"service_us":5000,"fail_per_mille":1000,"fail_fast":true})"},
       {"slow", R"({"service_us":5000,"slow_factor":6})"},
   };
   for (const row& r : rows) {
@@ -84,8 +90,10 @@
     const std::int64_t begin = system_clock_source().Now().wall.value;
     const std::vector<bench::sample> samples = RunLoad(c, 10);
     const backend_ledger bad = NewVersion(c);
-    MESSAGE(std::string(r.name) << ": " << bad.runs << " of " << samples.size()
-                   << " requests, the last " << bad.last_arrival_ms - begin << " ms after the start");
+    MESSAGE(std::string(r.name)
+            << ": " << bad.runs << " of " << samples.size()
+            << " requests, the last " << bad.last_arrival_ms - begin
+            << " ms after the start");
     CHECK(HasVerdict(c, "rolled-back"));
     CHECK(bad.runs <= kBadShare * static_cast<double>(samples.size()));
     CHECK(bad.last_arrival_ms < begin + kBadEndsMs);
@@ -93,7 +101,8 @@
   }
 }
 
-// Guards against a good version that is not done in time although nobody watches.
+// Guards against a good version that is not done in time although nobody
+// watches.
 TEST_CASE("a good version is done before its deadline") {
   cluster c(TwoVersions("out-move-good", R"({"service_us":5000})"));
   c.Start();
