Read and write JSON in one package

Cause: 16 files parsed or wrote JSON with copies of the same lines and with different strictness. Change: package json with ParseJson and FormatJson, which all codecs use.

--- a/apps/dotterellead/peer_envelope_codec.cc
+++ b/apps/dotterellead/peer_envelope_codec.cc
@@ -1,24 +1,18 @@
 #include <fmt/core.h>
-#include <json/json.h>
-
-#include <memory>
 
+#include "dotterellead/json.h"
 #include "peer_envelope.h"
 
 namespace dotterellead {
 namespace {
 
 Json::Value ParseObject(std::string_view text) {
-  Json::Value json;
-  std::string problem;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem) ||
-      !json.isObject()) {
+  const std::optional<Json::Value> json = ParseJson(text);
+  if (!json || !json->isObject()) {
     throw protocol_error("a peer sent a malformed message",
                          "run the same version on all entry hosts");
   }
-  return json;
+  return *json;
 }
 
 }  // namespace
@@ -35,10 +29,7 @@
     throw protocol_error("a peer's message names no sender",
                          "run the same version on all entry hosts");
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return {member_id(json["from"].asString()),
-          Json::writeString(builder, json["body"])};
+  return {member_id(json["from"].asString()), FormatJson(json["body"])};
 }
 
 std::string EncodeFetch(log_offset from) {
--- a/apps/dotterelleadctl/output.cc
+++ b/apps/dotterelleadctl/output.cc
@@ -1,41 +1,18 @@
 #include "output.h"
 
-#include <json/json.h>
-
 #include <algorithm>
-#include <memory>
 #include <sstream>
 
 #include "dotterellead/core.h"
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
 
-std::optional<Json::Value> Parse(const std::string& text) {
-  Json::CharReaderBuilder builder;
-  builder["rejectDupKeys"] = true;
-  builder["failIfExtra"] = true;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
-  try {
-    if (reader->parse(text.data(), text.data() + text.size(), &json, nullptr))
-      return json;
-  } catch (const Json::Exception&) {
-    return std::nullopt;
-  }
-  return std::nullopt;
-}
-
-std::string Compact(const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
-}
-
 std::string Cell(const Json::Value& json) {
   if (json.isNull())
     return "-";
-  return json.isString() ? json.asString() : Compact(json);
+  return json.isString() ? json.asString() : FormatJson(json);
 }
 
 using table_row = std::vector<std::string>;
@@ -89,13 +66,13 @@
   std::vector<std::string> resources;
   const std::size_t first = text.find_first_not_of(" \t\r\n");
   if (first != std::string::npos && text[first] == '[') {
-    const std::optional<Json::Value> list = Parse(text);
+    const std::optional<Json::Value> list = ParseJson(text);
     if (!list) {
       throw invalid_input_error("the file is not a valid JSON array",
                                 "correct it, or write one resource per line");
     }
     for (const Json::Value& item : *list)
-      resources.push_back(Compact(item));
+      resources.push_back(FormatJson(item));
     return resources;
   }
   std::istringstream lines(text);
@@ -107,7 +84,7 @@
 }
 
 std::string FormatTable(const std::string& text) {
-  const std::optional<Json::Value> json = Parse(text);
+  const std::optional<Json::Value> json = ParseJson(text);
   if (!json || !json->isObject())
     return text;
   std::vector<table_row> fields;
@@ -124,7 +101,7 @@
 
 std::optional<std::uint64_t> ReadNumberField(const std::string& text,
                                              const std::string& name) {
-  const std::optional<Json::Value> json = Parse(text);
+  const std::optional<Json::Value> json = ParseJson(text);
   if (!json || !json->isObject() || !(*json)[name].isUInt64())
     return std::nullopt;
   return (*json)[name].asUInt64();
@@ -132,7 +109,7 @@
 
 std::vector<std::string> MembersBehind(const std::string& status,
                                        std::uint64_t offset) {
-  const std::optional<Json::Value> json = Parse(status);
+  const std::optional<Json::Value> json = ParseJson(status);
   if (!json || !json->isObject() || !(*json)["members"].isArray() ||
       (*json)["members"].empty()) {
     throw protocol_error("the status lists no members",
--- a/packages/admission/src/admission_codec.cc
+++ b/packages/admission/src/admission_codec.cc
@@ -1,9 +1,8 @@
-#include <json/json.h>
 
 #include <array>
-#include <memory>
 
 #include "dotterellead/admission.h"
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
@@ -169,14 +168,10 @@
     }};
 
 Json::Value Parse(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
-  std::string problem;
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
+  const std::optional<Json::Value> json = ParseJson(text);
+  if (!json)
     Fail("(not JSON)");
-  return json;
+  return *json;
 }
 
 }  // namespace
@@ -185,9 +180,7 @@
   Json::Value json(Json::objectValue);
   json["kind"] = std::string(kKinds[m.index()].name);
   std::visit([&json](const auto& alternative) { Write(json, alternative); }, m);
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 admission_peer_message DecodeAdmissionMessage(std::string_view text) {
--- a/packages/balance/src/balance_codec.cc
+++ b/packages/balance/src/balance_codec.cc
@@ -1,9 +1,8 @@
-#include <json/json.h>
 
-#include <memory>
 #include <tuple>
 
 #include "dotterellead/balance.h"
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
@@ -292,25 +291,13 @@
   Json::Value json =
       std::visit([](const auto& alternative) { return Write(alternative); }, m);
   json[kTypeKey] = std::string(1, kTags[m.index()]);
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 balance_peer_message DecodeBalanceMessage(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  builder["rejectDupKeys"] = true;
-  builder["failIfExtra"] = true;
-  builder["stackLimit"] = 16;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
-  bool ok = false;
-  try {
-    ok = reader->parse(text.data(), text.data() + text.size(), &json, nullptr);
-  } catch (const Json::Exception&) {
-    ok = false;
-  }
-  if (!ok || !json.isObject() || !json[kTypeKey].isString())
+  const std::optional<Json::Value> parsed = ParseJson(text);
+  const Json::Value& json = parsed ? *parsed : Json::Value::nullSingleton();
+  if (!json.isObject() || !json[kTypeKey].isString())
     Fail("is not a JSON object with a type");
   const std::string tag = json[kTypeKey].asString();
   const std::size_t index = tag.size() == 1 ? kTags.find(tag) : kTags.npos;
--- a/packages/config/src/config_codec.cc
+++ b/packages/config/src/config_codec.cc
@@ -1,10 +1,10 @@
-#include <json/json.h>
 
 #include <array>
 #include <limits>
 #include <span>
 
 #include "dotterellead/config.h"
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
@@ -270,23 +270,12 @@
   }
 }
 
-Json::Value ParseJson(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  builder["rejectDupKeys"] = true;
-  builder["failIfExtra"] = true;
-  builder["stackLimit"] = 64;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
+Json::Value ParseText(std::string_view text) {
   std::string problem;
-  bool ok = false;
-  try {
-    ok = reader->parse(text.data(), text.data() + text.size(), &json, &problem);
-  } catch (const Json::Exception& e) {
-    problem = e.what();
-  }
-  if (!ok)
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json)
     Fail("the resource", "is not valid JSON (" + problem + ")", "correct it");
-  return json;
+  return *json;
 }
 
 using spec_reader = resource_spec (*)(const Json::Value&);
@@ -307,7 +296,7 @@
 }  // namespace
 
 resource ParseResource(std::string_view text) {
-  const Json::Value json = ParseJson(text);
+  const Json::Value json = ParseText(text);
   if (!json.isObject())
     Fail("the resource", "is not an object", "write it in curly brackets");
   for (const std::string& name : json.getMemberNames()) {
@@ -340,9 +329,7 @@
   json["name"] = r.name;
   json["spec"] =
       std::visit([](const auto& spec) { return WriteSpec(spec); }, r.spec);
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 }  // namespace dotterellead
--- a/packages/config/src/config_record_codec.cc
+++ b/packages/config/src/config_record_codec.cc
@@ -1,8 +1,8 @@
-#include <json/json.h>
 
 #include <array>
 
 #include "config_replay.h"
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
@@ -13,27 +13,15 @@
 }
 
 std::string WriteText(const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 Json::Value ReadTextAsObject(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  builder["failIfExtra"] = true;
-  builder["stackLimit"] = 64;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
   std::string problem;
-  bool ok = false;
-  try {
-    ok = reader->parse(text.data(), text.data() + text.size(), &json, &problem);
-  } catch (const Json::Exception& e) {
-    problem = e.what();
-  }
-  if (!ok || !json.isObject())
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json || !json->isObject())
     FailRecord("not a JSON object " + problem);
-  return json;
+  return *json;
 }
 
 // Any error of the parts below means a malformed record.
--- a/packages/idempotency/src/idempotency_codec.cc
+++ b/packages/idempotency/src/idempotency_codec.cc
@@ -1,8 +1,7 @@
-#include <json/json.h>
 
-#include <memory>
 
 #include "dotterellead/idempotency.h"
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
@@ -134,16 +133,11 @@
 }
 
 Json::Value Parse(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
   std::string problem;
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
-    Fail("is not JSON: " + problem);
-  if (!json.isObject())
-    Fail("is not a JSON object");
-  return json;
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json || !json->isObject())
+    Fail("is not a JSON object " + problem);
+  return *json;
 }
 
 std::optional<claim_log_record> TryDecode(const log_record& record,
@@ -177,10 +171,7 @@
         Json::Value json = ToJson(r);
         json["k"] = r.key.value();
         json["w"] = WriterToJson(r.writer);
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "";
-        builder["emitUTF8"] = true;
-        return Json::writeString(builder, json);
+        return FormatJson(json);
       },
       record);
 }
--- a/packages/measure/src/measure_codec.cc
+++ b/packages/measure/src/measure_codec.cc
@@ -1,8 +1,7 @@
-#include <json/json.h>
 
 #include <limits>
-#include <memory>
 
+#include "dotterellead/json.h"
 #include "dotterellead/measure.h"
 
 namespace dotterellead {
@@ -37,13 +36,10 @@
 }  // namespace
 
 probe_report DecodeProbeReport(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
-  std::string problem;
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
+  const std::optional<Json::Value> parsed = ParseJson(text);
+  if (!parsed)
     Fail("(not JSON)");
+  const Json::Value& json = *parsed;
   const Json::Value& boot = Member(json, "boot");
   if (!boot.isString())
     Fail("boot");
@@ -63,9 +59,7 @@
   json["draining"] = report.draining;
   json["boot"] = report.boot;
   json["age_ms"] = Json::Int64{report.age.count()};
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 }  // namespace dotterellead
--- a/packages/membership/src/membership_codec.cc
+++ b/packages/membership/src/membership_codec.cc
@@ -1,8 +1,8 @@
-#include <json/json.h>
 
 #include <array>
 #include <limits>
 
+#include "dotterellead/json.h"
 #include "dotterellead/membership.h"
 
 namespace dotterellead {
@@ -20,25 +20,14 @@
 }
 
 Json::Value Parse(std::string_view text) {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  try {
-    if (reader->parse(text.data(), text.data() + text.size(), &value,
-                      nullptr) &&
-        value.isObject()) {
-      return value;
-    }
-  } catch (const Json::Exception&) {
-    Fail("the JSON text is nested too deeply");
-  }
-  Fail("not a JSON object");
+  const std::optional<Json::Value> json = ParseJson(text);
+  if (!json || !json->isObject())
+    Fail("not a JSON object");
+  return *json;
 }
 
 std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
+  return FormatJson(value);
 }
 
 std::uint64_t Number(const Json::Value& value) {
--- a/packages/operate/src/operate_codec.cc
+++ b/packages/operate/src/operate_codec.cc
@@ -1,14 +1,11 @@
 #include "operate_codec.h"
-
-#include <json/json.h>
+#include "dotterellead/json.h"
 
 namespace dotterellead {
 namespace {
 
 std::string WriteText(const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json) + "\n";
+  return FormatJson(json) + "\n";
 }
 
 Json::Value WriteOffset(log_offset offset) {
@@ -17,12 +14,7 @@
 }
 
 Json::Value WriteResource(const resource& r) {
-  Json::Value json;
-  const std::string text = FormatResource(r);
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  reader->parse(text.data(), text.data() + text.size(), &json, nullptr);
-  return json;
+  return *ParseJson(FormatResource(r));
 }
 
 Json::Value WriteProgress(const move_progress& progress) {
--- a/packages/peer/src/peer_rpc.cc
+++ b/packages/peer/src/peer_rpc.cc
@@ -1,6 +1,6 @@
 #include "peer_rpc.h"
+#include "dotterellead/json.h"
 
-#include <json/json.h>
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
@@ -12,20 +12,14 @@
 namespace {
 
 std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
+  return FormatJson(value);
 }
 
 bool ParseText(const std::string& text, Json::Value& value) {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  try {
-    return reader->parse(text.data(), text.data() + text.size(), &value,
-                         nullptr);
-  } catch (const Json::Exception&) {
-    return false;  // Nested deeper than the library's limit.
-  }
+  const std::optional<Json::Value> json = ParseJson(text);
+  if (json)
+    value = *json;
+  return json.has_value();
 }
 
 // Hands the library a request that an HTTP listener has received; `addInfo` is
--- a/packages/platform/src/platform_http.cc
+++ b/packages/platform/src/platform_http.cc
@@ -1,7 +1,6 @@
-#include <json/json.h>
 
-#include <memory>
 
+#include "dotterellead/json.h"
 #include "dotterellead/platform.h"
 
 namespace dotterellead {
@@ -13,16 +12,11 @@
 }
 
 Json::Value Parse(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
   std::string problem;
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
-    Fail("is not JSON: " + problem);
-  if (!json.isObject())
-    Fail("is not a JSON object");
-  return json;
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json || !json->isObject())
+    Fail("is not a JSON object " + problem);
+  return *json;
 }
 
 std::uint64_t Number(const Json::Value& json, const char* name) {
@@ -96,10 +90,7 @@
   json["records"] = Json::arrayValue;
   for (const std::string& record : request.records)
     json["records"].append(record);
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  builder["emitUTF8"] = true;
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 log_offset DecodeAppendReply(std::string_view text, std::size_t expected) {
--- a/packages/rollout/src/rollout_codec.cc
+++ b/packages/rollout/src/rollout_codec.cc
@@ -1,8 +1,7 @@
-#include <json/json.h>
 
 #include <algorithm>
-#include <memory>
 
+#include "dotterellead/json.h"
 #include "dotterellead/rollout.h"
 
 namespace dotterellead {
@@ -17,27 +16,14 @@
 }
 
 Json::Value Parse(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  builder["failIfExtra"] = true;
-  builder["stackLimit"] = 16;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value json;
-  std::string problem;
-  bool ok = false;
-  try {
-    ok = reader->parse(text.data(), text.data() + text.size(), &json, &problem);
-  } catch (const Json::Exception& e) {
-    problem = e.what();
-  }
-  if (!ok || !json.isObject())
+  const std::optional<Json::Value> json = ParseJson(text);
+  if (!json || !json->isObject())
     Fail("is not a JSON object");
-  return json;
+  return *json;
 }
 
 std::string Write(const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  return FormatJson(json);
 }
 
 const Json::Value& Field(const Json::Value& json, const char* name) {
--- a/tests/golden/golden_test.cc
+++ b/tests/golden/golden_test.cc
@@ -9,7 +9,8 @@
 namespace dotterellead::golden {
 namespace {
 
-// Compares a transcript with its golden file, or rewrites the file if the flag is set.
+// Compares a transcript with its golden file, or rewrites the file if the flag
+// is set.
 void CheckGolden(const std::string& name, const session_world& world) {
   const std::string path = std::string(GOLDEN_FOLDER) + "/" + name + ".golden";
   if (std::getenv("DOTTERELLEAD_REMAKE_GOLDEN") != nullptr)
@@ -30,12 +31,13 @@
   CheckGolden("payment", world);
 }
 
-// Guards against a second run after a run whose end is unknown, and against claims that stay
-// taken by requests that did not run.
+// Guards against a second run after a run whose end is unknown, and against
+// claims that stay taken by requests that did not run.
 TEST_CASE("session: backend servers fail in every way") {
   session_world world;
   using m = server_mode;
-  for (const m mode : {m::kFails, m::kSheds, m::kRefuses, m::kCuts, m::kSilent}) {
+  for (const m mode :
+       {m::kFails, m::kSheds, m::kRefuses, m::kCuts, m::kSilent}) {
     const std::string key = "key-" + std::to_string(static_cast<int>(mode));
     world.SetServers({mode});
     world.Request("POST", key, "amount=5");
@@ -47,8 +49,8 @@
   CheckGolden("server_faults", world);
 }
 
-// Guards against a run without a claim in the log, a false "not run", and a lost reply that makes
-// a claim run twice or never.
+// Guards against a run without a claim in the log, a false "not run", and a
+// lost reply that makes a claim run twice or never.
 TEST_CASE("session: the log fails and comes back") {
   session_world world;
   world.SetLog(log_mode::kLosesReplies);
--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -15,16 +15,23 @@
   view->pools[pool_id("pay")].spec = {
       .tenant = tenant_id("ninho"),
       .routes = {{"GET", "/", true}, {"POST", "/", false}},
-      .servers = {{.address = server_id("127.0.0.1:1"), .data_centre = data_centre_id("a"), .version = version_id("v1"), .slots = 2},
-                  {.address = server_id("127.0.0.1:2"), .data_centre = data_centre_id("a"), .version = version_id("v1"), .slots = 2}}};
+      .servers = {{.address = server_id("127.0.0.1:1"),
+                   .data_centre = data_centre_id("a"),
+                   .version = version_id("v1"),
+                   .slots = 2},
+                  {.address = server_id("127.0.0.1:2"),
+                   .data_centre = data_centre_id("a"),
+                   .version = version_id("v1"),
+                   .slots = 2}}};
   return view;
 }
 
-// The same key for the same name in every run: a version 7 UUID of the session's start.
+// The same key for the same name in every run: a version 7 UUID of the
+// session's start.
 std::string KeyOf(const std::string& name) {
   const auto created = static_cast<std::uint64_t>(kStartWallMs);
-  return fmt::format("{:08x}-{:04x}-7000-8000-{:012x}", created >> 16, created & 0xffff,
-                     StableHash(name) & 0xffffffffffffULL);
+  return fmt::format("{:08x}-{:04x}-7000-8000-{:012x}", created >> 16,
+                     created & 0xffff, StableHash(name) & 0xffffffffffffULL);
 }
 
 }  // namespace
@@ -40,7 +47,8 @@
 // The balance machine as a single host, stepped in place.
 class session_world::fake_slots : public slot_source {
  public:
-  fake_slots(session_world& world, fake_clock& clock) : world_(world), clock_(clock) {
+  fake_slots(session_world& world, fake_clock& clock)
+      : world_(world), clock_(clock) {
     Step(config_changed{MakeConfig()});
     // Servers count as cold until they are reported warm.
     for (const char* server : {"127.0.0.1:1", "127.0.0.1:2"})
@@ -66,7 +74,8 @@
 
  private:
   assigned Note(const assigned& a) {
-    world_.Write(fmt::format("  slot {} of {} assigned", a.slot.value(), a.server.value()));
+    world_.Write(fmt::format("  slot {} of {} assigned", a.slot.value(),
+                             a.server.value()));
     return a;
   }
   std::vector<balance_machine::effect> Step(const balance_machine::message& m) {
@@ -84,12 +93,17 @@
 class session_world::fake_claims : public claim_gate {
  public:
   fake_claims(session_world& world, fake_clock& clock)
-      : world_(world), clock_(clock), machine_({.member = member_id("h1"), .incarnation = incarnation_id(1)}) {
+      : world_(world),
+        clock_(clock),
+        machine_(
+            {.member = member_id("h1"), .incarnation = incarnation_id(1)}) {
     Step(live_members{{{member_id("h1"), incarnation_id(1)}}, 1});
     Run(3);
   }
 
-  claim_decision Begin(const idempotency_key& key, std::uint64_t fingerprint, time_point deadline) override {
+  claim_decision Begin(const idempotency_key& key,
+                       std::uint64_t fingerprint,
+                       time_point deadline) override {
     const request_id request(next_++);
     answer_.reset();
     Step(begin_claim{request, key, fingerprint, deadline});
@@ -99,7 +113,9 @@
       return claim_refusal{504, run_state::kUnknown, "no decision", "resend"};
     return Decision(answer_->decision);
   }
-  void Finish(const idempotency_key& key, const http_answer& answer, run_state run) override {
+  void Finish(const idempotency_key& key,
+              const http_answer& answer,
+              run_state run) override {
     saved_outcome outcome = MakeOutcome(answer);
     outcome.run = run;
     Step(finish_claim{request_id(next_++), key, outcome});
@@ -123,7 +139,8 @@
  private:
   static claim_decision Decision(const decltype(claim_answer::decision)& d) {
     if (const auto* saved = std::get_if<saved_outcome>(&d))
-      return saved_answer{{saved->status, saved->headers, saved->body}, saved->truncated};
+      return saved_answer{{saved->status, saved->headers, saved->body},
+                          saved->truncated};
     if (const auto* no = std::get_if<claim_denied>(&d))
       return claim_refusal{no->status, no->run, no->problem, no->remedy};
     return claim_won{};
@@ -145,7 +162,8 @@
       world_.Write("  append refused: the log is down");
       result.status = append_status::kRefused;
     } else {
-      result.status = mode == log_mode::kUp ? append_status::kAppended : append_status::kUnknown;
+      result.status = mode == log_mode::kUp ? append_status::kAppended
+                                            : append_status::kUnknown;
       result.first = log_offset(log.size());
       for (const claim_log_record& record : e.records)
         Append(record, ClaimStream(e.shard).value(), log);
@@ -156,12 +174,14 @@
               const std::string& stream,
               std::vector<claim_log_record>& log) {
     static constexpr const char* kNames[] = {"claim", "void", "outcome"};
-    world_.Write(fmt::format("  {}[{}] = {}{}", stream, log.size(), kNames[record.index()],
-                             mode == log_mode::kUp ? "" : ", its reply is lost"));
+    world_.Write(fmt::format(
+        "  {}[{}] = {}{}", stream, log.size(), kNames[record.index()],
+        mode == log_mode::kUp ? "" : ", its reply is lost"));
     log.push_back(record);
   }
 
-  // Hands over append results and what every shard holds beyond the offset read so far.
+  // Hands over append results and what every shard holds beyond the offset read
+  // so far.
   void Deliver() {
     for (const append_result& result : std::exchange(results_, {}))
       Step(result);
@@ -176,7 +196,11 @@
   }
   claim_batch Batch(claim_shard shard) {
     const std::vector<claim_log_record>& log = logs_[shard];
-    claim_batch batch{.shard = shard, .records = {}, .first = log_offset(0), .next = log_offset(log.size()), .retention = kRetention};
+    claim_batch batch{.shard = shard,
+                      .records = {},
+                      .first = log_offset(0),
+                      .next = log_offset(log.size()),
+                      .retention = kRetention};
     log_offset& from = read_from_.try_emplace(shard, 0).first->second;
     for (; from.value() < log.size(); from = from.next())
       batch.records.push_back({from, log[from.value()]});
@@ -195,35 +219,53 @@
 
 class session_world::open_admission : public admission_gate {
  public:
-  bool Begin(const pool_id&, request_fingerprint, time_point) override { return true; }
+  bool Begin(const pool_id&, request_fingerprint, time_point) override {
+    return true;
+  }
   bool TakeRetry(const pool_id&) override { return true; }
-  bool RecordCrash(request_fingerprint, const server_id&) override { return false; }
+  bool RecordCrash(request_fingerprint, const server_id&) override {
+    return false;
+  }
   void End(request_fingerprint, bool) override {}
 };
 
 class session_world::any_version : public version_chooser {
  public:
-  version_id Choose(const pool_id&, const route_id&, request_id) override { return version_id(); }
-  void Record(const pool_id&, const route_id&, const version_id&, bool, microseconds) override {}
+  version_id Choose(const pool_id&, const route_id&, request_id) override {
+    return version_id();
+  }
+  void Record(const pool_id&,
+              const route_id&,
+              const version_id&,
+              bool,
+              microseconds) override {}
 };
 
 class session_world::fake_backends : public backend_transport {
  public:
-  fake_backends(session_world& world, fake_clock& clock) : world_(world), clock_(clock) {}
-  attempt Send(const server_id& server, const http_request& request, const attempt_limits&, const http_peer&) override {
+  fake_backends(session_world& world, fake_clock& clock)
+      : world_(world), clock_(clock) {}
+  attempt Send(const server_id& server,
+               const http_request& request,
+               const attempt_limits&,
+               const http_peer&) override {
     const server_mode mode = Next();
     attempt a;
     a.latency = milliseconds(5);
     clock_.now += milliseconds(5);
     switch (mode) {
       case server_mode::kAnswers:
-        a.result.answer = {200, {{"server-state", "warm"}}, fmt::format("run {}", ++runs_)};
+        a.result.answer = {
+            200, {{"server-state", "warm"}}, fmt::format("run {}", ++runs_)};
         break;
       case server_mode::kFails:
-        a.result.answer = {500, {{"server-state", "warm"}}, fmt::format("run {} failed", ++runs_)};
+        a.result.answer = {500,
+                           {{"server-state", "warm"}},
+                           fmt::format("run {} failed", ++runs_)};
         break;
       case server_mode::kSheds:
-        a.result.answer = {503, {{"server-state", "warm"}, {"request-run", "not-run"}}, ""};
+        a.result.answer = {
+            503, {{"server-state", "warm"}, {"request-run", "not-run"}}, ""};
         break;
       case server_mode::kRefuses:
         a.result.failure = send_failure::kConnect;
@@ -237,10 +279,11 @@
         a.result.failure = send_failure::kTimeout;
         break;
     }
-    world_.Write(fmt::format("  {} sent to {}: {}, runs so far {}", request.method, server.value(),
-                             a.result.ok() ? std::to_string(a.result.answer.status)
-                                           : std::string(to_string(a.result.failure)),
-                             runs_));
+    world_.Write(fmt::format(
+        "  {} sent to {}: {}, runs so far {}", request.method, server.value(),
+        a.result.ok() ? std::to_string(a.result.answer.status)
+                      : std::string(to_string(a.result.failure)),
+        runs_));
     return a;
   }
   std::deque<server_mode> modes;
@@ -260,7 +303,12 @@
 
 class session_world::no_observer : public request_observer {
  public:
-  void Answered(const tenant_id&, const pool_id&, const route_id&, int, microseconds, microseconds) override {}
+  void Answered(const tenant_id&,
+                const pool_id&,
+                const route_id&,
+                int,
+                microseconds,
+                microseconds) override {}
   void Refused(const tenant_id&, std::string_view) override {}
 };
 
@@ -281,7 +329,8 @@
       observer_(std::make_unique<no_observer>()) {
   const config_snapshot config = MakeConfig();
   flow_ = std::make_unique<request_flow>(
-      flow_parts{*slots_, *claims_, *admission_, *versions_, *backends_, *observer_, *clock_, [config] { return config; }});
+      flow_parts{*slots_, *claims_, *admission_, *versions_, *backends_,
+                 *observer_, *clock_, [config] { return config; }});
 }
 
 session_world::~session_world() = default;
@@ -290,15 +339,20 @@
   transcript_ += line + "\n";
 }
 
-void session_world::Request(const std::string& method, const std::string& key_name, const std::string& body) {
-  Write(fmt::format("caller: {} key={} body={}", method, key_name.empty() ? "none" : key_name, body));
-  http_request request{method, "/transfers", {{"request-timeout-ms", "1000"}}, body};
+void session_world::Request(const std::string& method,
+                            const std::string& key_name,
+                            const std::string& body) {
+  Write(fmt::format("caller: {} key={} body={}", method,
+                    key_name.empty() ? "none" : key_name, body));
+  http_request request{
+      method, "/transfers", {{"request-timeout-ms", "1000"}}, body};
   if (!key_name.empty())
     request.headers.push_back({"Idempotency-Key", KeyOf(key_name)});
   const http_answer answer = flow_->Handle(request, present_caller());
   const std::string* run = FindHeader(answer.headers, "dotterellead-run");
   const std::string text = answer.body.substr(0, answer.body.find('\n'));
-  Write(fmt::format("answer: {}{} {}", answer.status, run == nullptr ? "" : " " + *run, text));
+  Write(fmt::format("answer: {}{} {}", answer.status,
+                    run == nullptr ? "" : " " + *run, text));
 }
 
 void session_world::SetLog(log_mode mode) {
--- a/tests/golden/session_world.h
+++ b/tests/golden/session_world.h
@@ -1,5 +1,6 @@
-// One entry host's decisions in one thread, under a manual clock, with hand-written fakes of the
-// log and the backend servers. Everything that happens is written to a transcript.
+// One entry host's decisions in one thread, under a manual clock, with
+// hand-written fakes of the log and the backend servers. Everything that
+// happens is written to a transcript.
 #ifndef DOTTERELLEAD_TESTS_SESSION_WORLD_H_
 #define DOTTERELLEAD_TESTS_SESSION_WORLD_H_
 
@@ -27,7 +28,9 @@
   ~session_world();
 
   // Sends one request and writes it, all that follows from it, and its answer.
-  void Request(const std::string& method, const std::string& key_name, const std::string& body);
+  void Request(const std::string& method,
+               const std::string& key_name,
+               const std::string& body);
   void SetLog(log_mode mode);
   // Each attempt takes the next mode; then servers answer.
   void SetServers(std::deque<server_mode> modes);
--- a/tests/harness/harness.cc
+++ b/tests/harness/harness.cc
@@ -1,7 +1,8 @@
 #include "harness.h"
 
+#include "dotterellead/json.h"
+
 #include <fmt/core.h>
-#include <json/json.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -22,18 +23,16 @@
 constexpr int kBackendGroup = 10;
 constexpr int kFirstPort = 20'000;
 
-Json::Value ParseJson(const std::string& text) {
-  Json::Value json;
+Json::Value ParseText(const std::string& text) {
   std::string problem;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
-    throw protocol_error("not JSON: " + text, "check the stand-in");
-  return json;
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json)
+    throw invalid_input_error("not JSON: " + problem, "send a JSON object");
+  return *json;
 }
 
 backend_ledger ParseLedger(const std::string& text) {
-  const Json::Value json = ParseJson(text);
+  const Json::Value json = ParseText(text);
   backend_ledger l;
   l.in_flight = json["in_flight"].asInt();
   l.max_in_flight = json["max_in_flight"].asInt();
@@ -234,7 +233,7 @@
   }
   Json::Value control;
   control["hosts"] = list;
-  ControlPlatform(Json::writeString(Json::StreamWriterBuilder(), control));
+  ControlPlatform(FormatJson(control));
 }
 
 void cluster::ApplyPools() const {
@@ -261,8 +260,7 @@
       s["cold_slots"] = shape.cold_slots;
       spec["servers"].append(s);
     }
-    Apply("pool", shape.name,
-          Json::writeString(Json::StreamWriterBuilder(), spec));
+    Apply("pool", shape.name, FormatJson(spec));
   }
 }
 
--- a/tests/standins/standin_backend.cc
+++ b/tests/standins/standin_backend.cc
@@ -2,7 +2,6 @@
 // failing runs, crashes, silent connections, load reports. POST /.control
 // changes its behaviour while it runs; GET
 // /.ledger tells what ran.
-#include <json/json.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -13,6 +12,7 @@
 #include <mutex>
 
 #include "dotterellead/http.h"
+#include "dotterellead/json.h"
 
 namespace {
 
@@ -82,14 +82,12 @@
     {"cut", &behaviour::cut},
 };
 
-Json::Value ParseJson(const std::string& text) {
-  Json::Value json;
+Json::Value ParseText(const std::string& text) {
   std::string problem;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
-    throw invalid_input_error("control body: " + problem, "send a JSON object");
-  return json;
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json)
+    throw invalid_input_error("not JSON: " + problem, "send a JSON object");
+  return *json;
 }
 
 void Update(behaviour& b, const Json::Value& json) {
@@ -108,11 +106,7 @@
 }
 
 http_answer JsonAnswer(const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return {200,
-          {{"Content-Type", "application/json"}},
-          Json::writeString(builder, json)};
+  return {200, {{"Content-Type", "application/json"}}, FormatJson(json)};
 }
 
 std::int64_t WallMillis() {
@@ -191,7 +185,7 @@
 
   http_answer Control(const http_request& request) {
     std::lock_guard lock(mutex_);
-    const Json::Value json = ParseJson(request.body);
+    const Json::Value json = ParseText(request.body);
     Update(behaviour_, json);
     if (json.isMember("turn_cold"))
       runs_since_cold_ = 0;
@@ -387,7 +381,7 @@
   pthread_sigmask(SIG_BLOCK, &stop, nullptr);
   try {
     behaviour initial;
-    Update(initial, ParseJson(control));
+    Update(initial, ParseText(control));
     std::vector<std::unique_ptr<backend>> servers;
     for (int i = 0; i < count; ++i) {
       servers.push_back(
--- a/tests/standins/standin_platform.cc
+++ b/tests/standins/standin_platform.cc
@@ -1,6 +1,5 @@
 // Stand-in for the platform: the append-only log and the host list. POST
 // /.control changes its behaviour while it runs; GET /.stats counts appends.
-#include <json/json.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
@@ -13,6 +12,7 @@
 #include <mutex>
 
 #include "dotterellead/http.h"
+#include "dotterellead/json.h"
 
 namespace {
 
@@ -61,14 +61,12 @@
     {"hang", &behaviour::hang},
 };
 
-Json::Value ParseJson(const std::string& text) {
-  Json::Value json;
+Json::Value ParseText(const std::string& text) {
   std::string problem;
-  const std::unique_ptr<Json::CharReader> reader(
-      Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(text.data(), text.data() + text.size(), &json, &problem))
-    throw invalid_input_error("body: " + problem, "send a JSON object");
-  return json;
+  const std::optional<Json::Value> json = ParseJson(text, &problem);
+  if (!json)
+    throw invalid_input_error("not JSON: " + problem, "send a JSON object");
+  return *json;
 }
 
 void Update(behaviour& b, const Json::Value& json) {
@@ -83,12 +81,7 @@
 }
 
 http_answer JsonAnswer(const Json::Value& json, int status = 200) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  builder["emitUTF8"] = true;
-  return {status,
-          {{"Content-Type", "application/json"}},
-          Json::writeString(builder, json)};
+  return {status, {{"Content-Type", "application/json"}}, FormatJson(json)};
 }
 
 http_answer Problem(int status, const std::string& text) {
@@ -208,7 +201,7 @@
   http_answer Append(const std::string& name,
                      const http_request& request,
                      const http_peer& peer) {
-    const Json::Value json = ParseJson(request.body);
+    const Json::Value json = ParseText(request.body);
     if (!json.isObject() || !json["records"].isArray() ||
         json["records"].empty()) {
       return Problem(400, "records is not a list of texts");
@@ -306,7 +299,7 @@
   }
 
   http_answer Control(const http_request& request) {
-    const Json::Value json = ParseJson(request.body);
+    const Json::Value json = ParseText(request.body);
     std::lock_guard lock(mutex_);
     Update(behaviour_, json);
     if (json.isMember("hosts")) {
@@ -371,9 +364,9 @@
   pthread_sigmask(SIG_BLOCK, &stop, nullptr);
   try {
     behaviour initial;
-    Update(initial, ParseJson(control));
+    Update(initial, ParseText(control));
     platform server(ParseSocketAddress(address), initial, threads);
-    server.SetHosts(ParseJson(hosts));
+    server.SetHosts(ParseText(hosts));
     server.Start();
     LogEvent(log_level::kInfo, "listening", {{"address", address}});
     int signal = 0;
