--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -235,7 +235,7 @@
                       m.cpu_percent, m.resident_mb, m.sent_kb, m.received_kb,
                       m.peer_calls, static_cast<double>(m.failures)});
   }
-  const tables both = {t, Slopes(all)};
+  tables both = {t, Slopes(all)};
   WriteJson(both, options.seed, "out/capacity.json");
   return both;
 }
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <memory>
 #include <random>
 #include <thread>
@@ -116,7 +117,7 @@
   if (latencies.empty())
     return microseconds(0);
   const auto at = static_cast<std::size_t>(
-      quantile * static_cast<double>(latencies.size() - 1) + 0.5);
+      std::lround(quantile * static_cast<double>(latencies.size() - 1)));
   std::nth_element(latencies.begin(),
                    latencies.begin() + static_cast<std::ptrdiff_t>(at),
                    latencies.end());
@@ -125,6 +126,7 @@
 
 std::vector<microseconds> Latencies(const std::vector<sample>& samples) {
   std::vector<microseconds> latencies;
+  latencies.reserve(samples.size());
   for (const sample& s : samples)
     latencies.push_back(s.latency);
   return latencies;
