--- a/bench/load.cc
+++ b/bench/load.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <memory>
 #include <random>
 #include <thread>
@@ -89,13 +90,19 @@
 std::vector<sample> RunLoad(const load_options& options) {
   const std::vector<planned> plan = Plan(options);
   std::vector<sample> samples(plan.size());
-  std::atomic<std::size_t> next{0};
+  // A lane is a sequence of requests that its threads take in turn.
+  const bool own_threads = options.threads_per_target > 0;
+  const std::size_t stride = own_threads ? options.targets.size() : 1;
+  const std::size_t lane_threads =
+      own_threads ? options.threads_per_target : options.threads;
+  std::vector<std::atomic<std::size_t>> next(stride);
   const auto begin = steady::now() + milliseconds(20);
   std::vector<std::thread> threads;
-  for (std::size_t t = 0; t < options.threads; ++t) {
-    threads.emplace_back([&] {
+  for (std::size_t t = 0; t < stride * lane_threads; ++t) {
+    threads.emplace_back([&, lane = t % stride] {
       sender s(options);
-      for (std::size_t n; (n = next.fetch_add(1)) < plan.size();) {
+      for (std::size_t n;
+           (n = lane + stride * next[lane].fetch_add(1)) < plan.size();) {
         std::this_thread::sleep_until(begin + plan[n].due);
         samples[n] = s.Send(n, plan[n], begin);
       }
@@ -110,7 +117,7 @@
   if (latencies.empty())
     return microseconds(0);
   const auto at = static_cast<std::size_t>(
-      quantile * static_cast<double>(latencies.size() - 1) + 0.5);
+      std::lround(quantile * static_cast<double>(latencies.size() - 1)));
   std::nth_element(latencies.begin(),
                    latencies.begin() + static_cast<std::ptrdiff_t>(at),
                    latencies.end());
@@ -119,6 +126,7 @@
 
 std::vector<microseconds> Latencies(const std::vector<sample>& samples) {
   std::vector<microseconds> latencies;
+  latencies.reserve(samples.size());
   for (const sample& s : samples)
     latencies.push_back(s.latency);
   return latencies;
