--- a/apps/dotterellead/entry_host_effects.cc
+++ b/apps/dotterellead/entry_host_effects.cc
@@ -83,7 +83,8 @@
 void entry_host::impl::Carry(send_gossip& e) {
   const std::string address = e.address;
   const time_point sent_at = e.sent_at;
-  auto done = [this, address, sent_at](std::optional<std::string> result) {
+  auto done = [this, address,
+               sent_at](const std::optional<std::string>& result) {
     TakeGossipReply(address, sent_at, result);
   };
   if (!links_.Call(address, "gossip", EncodeDigest(e.digest), done,
--- a/apps/dotterellead/entry_host_impl.h
+++ b/apps/dotterellead/entry_host_impl.h
@@ -96,7 +96,7 @@
   template <class Machine>
   std::function<void(typename Machine::effect&)> Sink() {
     return [this](typename Machine::effect& e) {
-      std::visit([this](auto& alternative) { Carry(alternative); }, e);
+      std::visit([this](auto& alternative) { this->Carry(alternative); }, e);
     };
   }
 
--- a/apps/dotterellead/operator_view.h
+++ b/apps/dotterellead/operator_view.h
@@ -29,7 +29,7 @@
 
 class operator_view : public operator_backend {
  public:
-  explicit operator_view(operator_view_parts parts) : parts_(parts) {}
+  explicit operator_view(const operator_view_parts& parts) : parts_(parts) {}
   // Sets the duty that writes. Without one, writes are refused.
   void Join(duty<config_machine>& config) { config_ = &config; }
   void Deliver(const write_result& result);
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -312,9 +312,9 @@
     call.method = request.method;
     call.target = request.target;
     call.headers = std::move(current_call->headers);
-    call.body = current_call->early_body.empty()
-                    ? request.body
-                    : std::move(current_call->early_body);
+    call.body = std::move(current_call->early_body);
+    if (call.body.empty())
+      call.body = request.body;
     http_answer answer = handle_(
         call,
         socket_peer(current_call->socket, current_call->connection_number));
--- a/packages/json/include/dotterellead/json.h
+++ b/packages/json/include/dotterellead/json.h
@@ -10,8 +10,8 @@
 
 namespace dotterellead {
 
-// Returns nullopt, and the reason in `problem` if given, unless the whole text is one JSON value
-// without repeated keys and not nested deeper than 64.
+// Returns nullopt, and the reason in `problem` if given, unless the whole text
+// is one JSON value without repeated keys and not nested deeper than 64.
 std::optional<Json::Value> ParseJson(std::string_view text,
                                      std::string* problem = nullptr);
 
