--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -113,6 +113,7 @@
   fixture f;
   std::atomic<int> wrong{0};
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&, t] {
       for (int i = 0; i < 50; ++i) {
--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -327,7 +327,7 @@
       versions_(std::make_unique<any_version>()),
       backends_(std::make_unique<fake_backends>(*this, *clock_)),
       observer_(std::make_unique<no_observer>()) {
-  const config_snapshot config = MakeConfig();
+  config_snapshot config = MakeConfig();
   flow_ = std::make_unique<request_flow>(
       flow_parts{*slots_, *claims_, *admission_, *versions_, *backends_,
                  *observer_, *clock_, [config] { return config; }});
--- a/tests/harness/child_process.cc
+++ b/tests/harness/child_process.cc
@@ -15,6 +15,7 @@
 
 std::vector<char*> Pointers(const std::vector<std::string>& texts) {
   std::vector<char*> pointers;
+  pointers.reserve(texts.size() + 1);
   for (const std::string& text : texts)
     pointers.push_back(const_cast<char*>(text.c_str()));
   pointers.push_back(nullptr);
--- a/tests/system/system_moves_test.cc
+++ b/tests/system/system_moves_test.cc
@@ -39,7 +39,7 @@
       "move", "pay-v2",
       fmt::format(
           R"({{"pool":"pay","from_version":"v1","to_version":"v2","deadline_unix_ms":{}}})",
-          now + 1'000 * deadline_s));
+          now + std::int64_t{1'000} * deadline_s));
 }
 
 std::vector<bench::sample> RunLoad(const cluster& c, int seconds) {
@@ -47,7 +47,7 @@
   for (std::size_t i = 0; i < c.entry_host_count(); ++i)
     load.targets.push_back(c.caller_address(i));
   load.requests_per_second = 300;
-  load.duration = milliseconds(1'000 * seconds);
+  load.duration = std::chrono::seconds(seconds);
   return bench::RunLoad(load);
 }
 
--- a/tests/system/system_path_test.cc
+++ b/tests/system/system_path_test.cc
@@ -31,7 +31,7 @@
   for (std::size_t i = 0; i < c.entry_host_count(); ++i)
     load.targets.push_back(c.caller_address(i));
   load.requests_per_second = rate;
-  load.duration = milliseconds(1'000 * seconds);
+  load.duration = std::chrono::seconds(seconds);
   return load;
 }
 
