Drop the rule lines below section comments

Cause: the formatter had wrapped each section comment, which left a broken line of dashes below it in 21 files. Change: the dashes are gone; section titles stay.

--- a/apps/dotterellead/entry_host.cc
+++ b/apps/dotterellead/entry_host.cc
@@ -201,7 +201,6 @@
 }
 
 // ---- Start and stop
-// ---------------------------------------------------------------------------
 
 void entry_host::impl::OpenLog() {
   log_ = std::make_unique<http_log_client>(*settings_.log_address);
--- a/apps/dotterellead/entry_host_effects.cc
+++ b/apps/dotterellead/entry_host_effects.cc
@@ -14,7 +14,6 @@
 }  // namespace
 
 // ---- Balance
-// ----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(assigned& e) {
   slots_.Deliver(e);
@@ -78,7 +77,6 @@
 }
 
 // ---- Membership
-// -------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(send_gossip& e) {
   const std::string address = e.address;
@@ -154,7 +152,6 @@
 }
 
 // ---- Config
-// -----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(append_request& e) {
   stream_access& stream =
@@ -195,7 +192,6 @@
 }
 
 // ---- Idempotency
-// ------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(claim_answer& e) {
   claims_adapter_.Deliver(e);
@@ -214,7 +210,6 @@
 }
 
 // ---- Rollout
-// ----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(propose_step& e) {
   config_.Post(propose_move_step{e.move, e.revision, e.from_step, e.progress});
@@ -240,7 +235,6 @@
 }
 
 // ---- Admission
-// --------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(begin_answer& e) {
   admission_adapter_.Deliver(e.request, e.allowed);
@@ -278,7 +272,6 @@
 }
 
 // ---- Measure
-// ----------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(send_probe& e) {
   if (!probing_.Post(e))
@@ -313,7 +306,6 @@
 }
 
 // ---- Drain
-// ------------------------------------------------------------------------------------
 
 void entry_host::impl::Carry(effective_config& e) {
   state_.SetServing(e.config);
@@ -335,7 +327,6 @@
 }
 
 // ---- Housekeeping
-// -----------------------------------------------------------------------------
 
 void entry_host::impl::DoChore(chore_relay::effect& e) {
   if (const auto* lost = std::get_if<peer_lost>(&e)) {
--- a/apps/dotterellead/request_adapters.cc
+++ b/apps/dotterellead/request_adapters.cc
@@ -44,7 +44,6 @@
 }  // namespace
 
 // ---- Claims
-// -----------------------------------------------------------------------------------
 
 claim_decision claim_adapter::Begin(const idempotency_key& key,
                                     std::uint64_t fingerprint,
@@ -95,7 +94,6 @@
 }
 
 // ---- Admission
-// --------------------------------------------------------------------------------
 
 bool admission_adapter::Ask(request_id request,
                             admission_machine::message m,
@@ -150,7 +148,6 @@
 }
 
 // ---- Versions
-// ---------------------------------------------------------------------------------
 
 version_id version_adapter::Choose(const pool_id& pool,
                                    const route_id&,
--- a/packages/admission/include/dotterellead/admission.h
+++ b/packages/admission/include/dotterellead/admission.h
@@ -20,7 +20,6 @@
 namespace dotterellead {
 
 // ---- Messages between hosts
-// -------------------------------------------------------------------
 
 // What a host knows of a fingerprint's crashes. Part of most peer messages, so
 // that any of them spreads strikes.
@@ -105,7 +104,6 @@
 admission_peer_message DecodeAdmissionMessage(std::string_view text);
 
 // ---- Messages to the machine
-// ------------------------------------------------------------------
 
 // A first try that the table did not settle (admission_gate::Begin). Answered
 // by begin_answer.
@@ -159,7 +157,6 @@
 };
 
 // ---- Effects
-// ----------------------------------------------------------------------------------
 
 // If nobody waits for a true answer any more, the sink posts end_run.
 struct begin_answer {
@@ -200,7 +197,6 @@
 };
 
 // ---- Fast path
-// --------------------------------------------------------------------------------
 
 // Lets requests without strikes begin and end without the duty. Thread-safe;
 // one short lock per call. Holds an entry for each fingerprint in flight or
@@ -240,7 +236,6 @@
 };
 
 // ---- Retry budget
-// -----------------------------------------------------------------------------
 
 // Token bucket of one pool: each first try earns kRetryBudgetPerMille
 // thousandths of a retry, up to kRetryCap retries.
@@ -257,7 +252,6 @@
 };
 
 // ---- Machine
-// ----------------------------------------------------------------------------------
 
 // Decides which fingerprints may run. A fingerprint without strikes runs
 // freely. With one lost server it runs once at a time over all hosts: its
--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -17,7 +17,6 @@
 namespace dotterellead {
 
 // ---- Messages
-// ---------------------------------------------------------------------------------
 
 // Asks for a slot for one attempt of a request.
 struct acquire {
@@ -126,7 +125,6 @@
 };
 
 // ---- Messages between hosts
-// --------------------------------------------------------------------
 
 // One slot of a server as its home lent it. `serial` tells apart the times at
 // which the same slot was lent.
@@ -318,7 +316,6 @@
 };
 
 // ---- Effects
-// ----------------------------------------------------------------------------------
 
 struct assigned {
   request_id request;
@@ -405,7 +402,6 @@
 };
 
 // ---- Choice among idle slots
-// -------------------------------------------------------------------
 
 // A server that could take a request now.
 struct choice_candidate {
@@ -443,7 +439,6 @@
                                                 std::uint64_t seed);
 
 // ---- Machine
-// ----------------------------------------------------------------------------------
 
 // A report with less weight than this cannot show that a server is warm.
 inline constexpr double kLeastReportWeight = 0.5;
--- a/packages/config/include/dotterellead/config.h
+++ b/packages/config/include/dotterellead/config.h
@@ -18,7 +18,6 @@
 namespace dotterellead {
 
 // ---- Resource kinds
-// ---------------------------------------------------------------------------
 
 // Requests of one method and path prefix. A method of "*" matches all.
 struct route_spec {
@@ -100,7 +99,6 @@
 std::string FormatResource(const resource& r);
 
 // ---- The table
-// --------------------------------------------------------------------------------
 
 enum class move_verdict { kMoving, kDone, kRolledBack };
 std::string_view to_string(move_verdict verdict);
@@ -158,7 +156,6 @@
                                       std::string_view path);
 
 // ---- Records of the stream "config"
-// ----------------------------------------------------------
 
 // The log stream that holds the records below.
 const stream_id& ConfigStream();
@@ -243,7 +240,6 @@
                                      const resource_key& key);
 
 // ---- Messages of the config duty
-// -------------------------------------------------------------
 
 // An operator's write.
 struct write_request {
@@ -304,7 +300,6 @@
 };
 
 // ---- Effects of the config duty
-// --------------------------------------------------------------
 
 enum class change_action { kApplied, kRemoved, kStepped };
 std::string_view to_string(change_action action);
@@ -387,7 +382,6 @@
 peer_state DecodePeerState(std::string_view text);
 
 // ---- The machine
-// -----------------------------------------------------------------------------
 
 // Replicates the resource table by replaying the stream "config" and, where the
 // log cannot be read or no longer holds what is missing, from peers. Writes are
--- a/packages/config/src/config_codec.cc
+++ b/packages/config/src/config_codec.cc
@@ -232,7 +232,6 @@
 }
 
 // ---- Checks over several fields
-// ---------------------------------------------------------------
 
 void CheckSpec(const pool_spec& pool) {
   if (!pool.path_prefix.starts_with('/'))
--- a/packages/config/src/config_machine.cc
+++ b/packages/config/src/config_machine.cc
@@ -57,7 +57,6 @@
 }
 
 // ---- The log
-// ---------------------------------------------------------------------------------
 
 void config_machine::Handle(const log_batch& batch, step_context& c) {
   if (batch.stream != ConfigStream())
@@ -134,7 +133,6 @@
 }
 
 // ---- Truncated logs
-// --------------------------------------------------------------------------
 
 void config_machine::Collect(const log_batch& batch, step_context& c) {
   for (const log_record& record : batch.records) {
@@ -181,7 +179,6 @@
 }
 
 // ---- Peers
-// -----------------------------------------------------------------------------------
 
 void config_machine::Handle(const peer_records& records, step_context& c) {
   fetch_sent_.reset();
@@ -245,7 +242,6 @@
 }
 
 // ---- Snapshots and ticks
-// ---------------------------------------------------------------------
 
 void config_machine::Handle(const lowest_member& lowest, step_context& c) {
   is_lowest_ = lowest.is_self;
--- a/packages/config/src/config_writes.cc
+++ b/packages/config/src/config_writes.cc
@@ -87,7 +87,6 @@
 }  // namespace
 
 // ---- Requests
-// --------------------------------------------------------------------------------
 
 void config_machine::Handle(const write_request& request, step_context& c) {
   if (auto outcome = CheckWrite(request, c.now)) {
@@ -196,7 +195,6 @@
 }
 
 // ---- Answers
-// ---------------------------------------------------------------------------------
 
 void config_machine::Handle(const append_result& result, step_context& c) {
   const auto it = writes_.find(result.token);
--- a/packages/config/tests/config_replay_test.cc
+++ b/packages/config/tests/config_replay_test.cc
@@ -143,7 +143,6 @@
 }
 
 // ---- Moves
-// -----------------------------------------------------------------------------------
 
 struct move_cluster : fake_cluster {
   move_cluster() : fake_cluster(3) {
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -25,7 +25,6 @@
 namespace dotterellead {
 
 // ---- Ids
-// ------------------------------------------------------------------------------------
 
 // Id that people choose or read, such as a name or an address. The empty text
 // is invalid.
@@ -82,7 +81,6 @@
 using idempotency_key = text_id<struct idempotency_key_tag>;
 
 // ---- Units
-// ----------------------------------------------------------------------------------
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
@@ -120,7 +118,6 @@
 };
 
 // ---- Whether a request ran
-// --------------------------------------------------------------------
 
 enum class run_state { kNotRun, kDone, kUnknown };
 
@@ -129,7 +126,6 @@
 std::string_view to_string(run_state state);
 
 // ---- Errors
-// -----------------------------------------------------------------------------------
 
 enum class error_kind {
   kInvalidSetting,
@@ -178,7 +174,6 @@
 using protocol_error = typed_error<error_kind::kProtocol>;
 
 // ---- Log lines
-// --------------------------------------------------------------------------------
 
 enum class log_level { kDebug, kInfo, kWarning, kError };
 
@@ -204,7 +199,6 @@
               std::initializer_list<log_field> fields = {});
 
 // ---- Hashing
-// ----------------------------------------------------------------------------------
 
 // 64-bit FNV-1a with a final mix. The same on every host, so it may decide
 // ownership.
@@ -214,7 +208,6 @@
 bool EqualInConstantTime(std::string_view given, std::string_view expected);
 
 // ---- Bounded ring
-// -----------------------------------------------------------------------------
 
 // Fixed-capacity queue that joins duty threads. Storage is allocated once.
 // Waiting blocks on a condition variable.
@@ -317,7 +310,6 @@
 };
 
 // ---- Duty threads
-// -----------------------------------------------------------------------------
 
 // Message that a duty gives its machine once per tick interval.
 struct tick {};
@@ -440,7 +432,6 @@
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
 // ---- Replies across threads
-// -------------------------------------------------------------------
 
 // Lets threads outside a duty wait for an answer by request id. An answer for
 // an id that nobody waits for any more is reported as not taken, so that the
--- a/packages/drain/include/dotterellead/drain.h
+++ b/packages/drain/include/dotterellead/drain.h
@@ -14,7 +14,6 @@
 namespace dotterellead {
 
 // ---- Messages
-// ---------------------------------------------------------------------------------
 
 // The declared resources as replayed from the log.
 struct declared_config {
@@ -35,7 +34,6 @@
 };
 
 // ---- Effects
-// ----------------------------------------------------------------------------------
 
 // The resources to serve by: the declared ones, with servers that the host list
 // adds and without those that it shows as leaving. Its `through` is that of the
@@ -53,7 +51,6 @@
 };
 
 // ---- Machine
-// ----------------------------------------------------------------------------------
 
 struct drain_options {
   // The platform's balancer needs this long to see that the host is not ready.
--- a/packages/idempotency/include/dotterellead/idempotency.h
+++ b/packages/idempotency/include/dotterellead/idempotency.h
@@ -21,7 +21,6 @@
 using claim_shard = number_id<struct claim_shard_tag>;
 
 // ---- Records in the log
-// -----------------------------------------------------------------------
 
 // Names one claim. No two claims have the same writer.
 struct claim_writer {
@@ -72,7 +71,6 @@
     std::variant<claim_record, void_record, outcome_record>;
 
 // ---- Messages
-// ---------------------------------------------------------------------------------
 
 // A request wants to run. Each gets exactly one claim_answer, unless it is
 // withdrawn first.
@@ -140,7 +138,6 @@
 };
 
 // ---- Effects
-// ----------------------------------------------------------------------------------
 
 // The request may be sent, once.
 struct claim_granted {};
@@ -177,7 +174,6 @@
 };
 
 // ---- The machine
-// ------------------------------------------------------------------------------
 
 struct idempotency_options {
   member_id member;
@@ -224,7 +220,6 @@
 };
 
 // ---- Keys, shards, codec
-// ----------------------------------------------------------------------
 
 // Creation time of a version 7 UUID, or nullopt if `key` is not one.
 std::optional<unix_millis> KeyCreation(const idempotency_key& key);
--- a/packages/measure/include/dotterellead/measure.h
+++ b/packages/measure/include/dotterellead/measure.h
@@ -14,7 +14,6 @@
 namespace dotterellead {
 
 // ---- Messages
-// ---------------------------------------------------------------------------------
 
 struct homed_server {
   server_id server;
@@ -67,7 +66,6 @@
 std::string EncodeProbeReport(const probe_report& report);
 
 // ---- Effects
-// ----------------------------------------------------------------------------------
 
 // Probe now, and give up after `time_limit`, which the probe must carry as its
 // deadline.
@@ -97,7 +95,6 @@
 };
 
 // ---- Machine
-// ----------------------------------------------------------------------------------
 
 // Schedules probes of the servers homed here. Probe time is earned at the
 // budget's rate from the moment this host became home, and a probe may never
--- a/packages/operate/include/dotterellead/operate.h
+++ b/packages/operate/include/dotterellead/operate.h
@@ -20,7 +20,6 @@
 namespace dotterellead {
 
 // ---- What the application provides
-// -----------------------------------------------------------
 
 struct member_status {
   member_id member;
@@ -132,7 +131,6 @@
 };
 
 // ---- Status of resources
-// ---------------------------------------------------------------------
 
 // Whether a resource's last change is in force on every live member.
 struct resource_status {
@@ -147,7 +145,6 @@
                                                const host_status& host);
 
 // ---- The API
-// ---------------------------------------------------------------------------------
 
 // Answers the operators' requests.
 //   GET /v1/kinds                  GET /v1/{kind}
--- a/packages/operate/src/status.cc
+++ b/packages/operate/src/status.cc
@@ -38,7 +38,6 @@
 }
 
 // ---- config_feed
-// -----------------------------------------------------------------------------
 
 void config_feed::Publish(const config_published& published) {
   std::lock_guard lock(mutex_);
--- a/packages/platform/include/dotterellead/platform.h
+++ b/packages/platform/include/dotterellead/platform.h
@@ -96,7 +96,6 @@
 };
 
 // ---- Host list
-// --------------------------------------------------------------------------------
 
 enum class host_kind { kBackend, kEntry };
 enum class host_state { kLive, kLeaving };
@@ -123,7 +122,6 @@
 };
 
 // ---- Clients over HTTP
-// ------------------------------------------------------------------------
 
 // Kept connections to one remote address; any thread may use them.
 class http_connection_pool {
@@ -174,7 +172,6 @@
 std::vector<listed_host> DecodeHostList(std::string_view text);
 
 // ---- Duties
-// -----------------------------------------------------------------------------------
 
 // Reads one stream on its own thread from the offset that its owner sets, and
 // hands on what comes. After log_truncated it waits for a new offset. While the
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -17,7 +17,6 @@
 namespace dotterellead {
 
 // ---- What the flow asks of other duties
-// -------------------------------------------------------
 
 // Slots of backend servers.
 class slot_source {
@@ -152,7 +151,6 @@
 };
 
 // ---- The flow
-// ---------------------------------------------------------------------------------
 
 // All that a flow works with; each outlives it.
 struct flow_parts {
--- a/packages/rollout/include/dotterellead/rollout.h
+++ b/packages/rollout/include/dotterellead/rollout.h
@@ -19,7 +19,6 @@
 namespace dotterellead {
 
 // ---- Evidence
-// ---------------------------------------------------------------------------------
 
 // Latency bucket i holds latencies up to 0.5 ms * 2^(i/2); the last one holds
 // the rest.
@@ -85,7 +84,6 @@
 };
 
 // ---- Shares
-// -----------------------------------------------------------------------------------
 
 // Shares of one pool's requests in per mille, by version. Empty: any version.
 using version_shares = std::map<version_id, std::uint32_t>;
@@ -96,7 +94,6 @@
 version_id ChooseVersion(const version_shares& shares, request_id request);
 
 // ---- Messages
-// ---------------------------------------------------------------------------------
 
 struct rollout_config_changed {
   config_snapshot config;
@@ -156,7 +153,6 @@
 };
 
 // ---- Effects
-// ----------------------------------------------------------------------------------
 
 // Asks for a move_step record. It is valid only while the move has this
 // revision, is moving, and stands at `from_step`. The new step number is
@@ -185,7 +181,6 @@
 };
 
 // ---- Machine
-// ----------------------------------------------------------------------------------
 
 struct rollout_settings {
   // Shortest time at a step, longer than the detection time of 5 s.
@@ -361,7 +356,6 @@
 };
 
 // ---- Codec
-// ------------------------------------------------------------------------------------
 
 // JSON texts between hosts. Decoding throws protocol_error on malformed input.
 std::string EncodePeerEvidence(const peer_evidence& evidence);
--- a/packages/rollout/src/rollout_decisions.cc
+++ b/packages/rollout/src/rollout_decisions.cc
@@ -167,7 +167,6 @@
 }
 
 // ---- Rolling back
-// -----------------------------------------------------------------------------
 
 void rollout_machine::RollBack(move_state& move,
                                const std::string& reason,
@@ -192,7 +191,6 @@
 }
 
 // ---- Advancing
-// --------------------------------------------------------------------------------
 
 rollout_machine::traffic rollout_machine::ExpectedTraffic(
     const move_state& move,
--- a/packages/rollout/src/rollout_machine.cc
+++ b/packages/rollout/src/rollout_machine.cc
@@ -50,7 +50,6 @@
 }
 
 // ---- Configuration
-// ----------------------------------------------------------------------------
 
 void rollout_machine::On(const rollout_config_changed& m,
                          const moment& now,
@@ -115,7 +114,6 @@
 }
 
 // ---- Evidence
-// ---------------------------------------------------------------------------------
 
 void rollout_machine::On(const attempts_recorded& m,
                          const moment& now,
@@ -202,7 +200,6 @@
 }
 
 // ---- Peers, log and capacity
-// ------------------------------------------------------------------
 
 void rollout_machine::On(const peer_rollback& m,
                          const moment& now,
@@ -260,7 +257,6 @@
 }
 
 // ---- Shares
-// -----------------------------------------------------------------------------------
 
 std::uint32_t rollout_machine::CapacityPerMille(const move_state& move,
                                                 const moment& now) const {
