Count the crash of a server that accepts connections while it exits

Cause: after a cut, one new connection decided whether the server had crashed. An exiting process closes its sockets one by one, so it may cut the request's connection while its listening socket still accepts.

Change: the connection that is opened after a cut is watched for up to 100 ms. A refusal or a reset tells a crash; after an orderly close a new connection is tried every 10 ms; a connection that stays open tells that the server lives. The thread waits in poll. An attempt whose connection was cut by a living server takes up to 100 ms longer.

Not covered: a server that is restarted and listens again before the entry host tries to connect.

--- a/packages/http/include/dotterellead/http.h
+++ b/packages/http/include/dotterellead/http.h
@@ -166,6 +166,23 @@
 // True if a connection can be opened within `timeout`.
 bool CanConnect(const socket_address& remote, milliseconds timeout);
 
+// What became of a connection on which nothing was sent.
+enum class connection_fate {
+  // It was not made.
+  kRefused,
+  // The remote end's system ended it, as for a process that has exited.
+  kReset,
+  // The remote end closed it in order.
+  kClosed,
+  kOpen,
+};
+
+// Opens a connection within `timeout` and watches it until it ends, for `watch`
+// at most.
+connection_fate WatchConnection(const socket_address& remote,
+                                milliseconds timeout,
+                                milliseconds watch);
+
 // Sends one request on a connection of its own.
 send_result SendOnce(const socket_address& remote,
                      const http_request& request,
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -18,6 +18,46 @@
     headers.erase(name);
 }
 
+// A connection on which nothing is sent.
+class client_socket {
+ public:
+  client_socket(const socket_address& remote, milliseconds timeout)
+      : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(remote.port);
+    inet_pton(AF_INET, remote.ip.c_str(), &to.sin_addr);
+    (void)connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+    connected_ = socket_ >= 0 && Wait(POLLOUT, timeout) != 0 && !HasProblem();
+  }
+  ~client_socket() {
+    if (socket_ >= 0)
+      close(socket_);
+  }
+  client_socket(const client_socket&) = delete;
+  client_socket& operator=(const client_socket&) = delete;
+
+  bool is_connected() const { return connected_; }
+  // Returns the events that occurred, 0 after `timeout`.
+  short Wait(short events, milliseconds timeout) const {
+    pollfd state{socket_, events, 0};
+    return poll(&state, 1, static_cast<int>(timeout.count())) > 0
+               ? state.revents
+               : static_cast<short>(0);
+  }
+
+ private:
+  bool HasProblem() const {
+    int problem = 0;
+    socklen_t size = sizeof(problem);
+    getsockopt(socket_, SOL_SOCKET, SO_ERROR, &problem, &size);
+    return problem != 0;
+  }
+
+  int socket_;
+  bool connected_ = false;
+};
+
 }  // namespace
 
 class http_connection::impl {
@@ -144,21 +184,19 @@
 }
 
 bool CanConnect(const socket_address& remote, milliseconds timeout) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  if (socket < 0)
-    return false;
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(remote.port);
-  inet_pton(AF_INET, remote.ip.c_str(), &to.sin_addr);
-  (void)connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof(to));
-  pollfd state{socket, POLLOUT, 0};
-  const bool settled = poll(&state, 1, static_cast<int>(timeout.count())) > 0;
-  int problem = 0;
-  socklen_t size = sizeof(problem);
-  getsockopt(socket, SOL_SOCKET, SO_ERROR, &problem, &size);
-  close(socket);
-  return settled && problem == 0;
+  return client_socket(remote, timeout).is_connected();
+}
+
+connection_fate WatchConnection(const socket_address& remote,
+                                milliseconds timeout,
+                                milliseconds watch) {
+  const client_socket socket(remote, timeout);
+  if (!socket.is_connected())
+    return connection_fate::kRefused;
+  const short events = socket.Wait(POLLRDHUP, watch);
+  if ((events & POLLERR) != 0)
+    return connection_fate::kReset;
+  return events != 0 ? connection_fate::kClosed : connection_fate::kOpen;
 }
 
 send_result SendOnce(const socket_address& remote,
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -24,6 +24,11 @@
 inline constexpr std::size_t kMaxAnswerBytes = 4 << 20;
 inline constexpr milliseconds kConnectTimeout{500};
 inline constexpr std::size_t kIdleConnectionsPerServer = 8;
+// An exiting process accepts connections until its listening socket is closed.
+// That took up to 2 ms after the cut with all cores busy; the rest is margin.
+inline constexpr milliseconds kCrashWatch{100};
+// Between two connections that a server has closed in order.
+inline constexpr milliseconds kCrashRecheck{10};
 // A connection that answered more recently than this may carry a non-idempotent
 // request.
 inline constexpr milliseconds kFreshConnectionAge{500};
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -113,7 +113,8 @@
   bool found_closed = false;
   // Nothing was sent because the lease or the deadline had passed.
   bool not_sent = false;
-  // After a cut: the server refuses new connections.
+  // After a cut: the server refuses new connections, or resets them, because it
+  // has crashed.
   bool refuses_connections = false;
 };
 
--- a/packages/proxy/src/pooled_transport.cc
+++ b/packages/proxy/src/pooled_transport.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <thread>
 
 #include "attempt_watcher.h"
 #include "dotterellead/proxy.h"
@@ -100,7 +101,7 @@
       known.newest_silent = std::max(known.newest_silent, used.generation);
     }
     if (sent.result.failure == send_failure::kCut)
-      sent.refuses_connections = RefusesConnections(server);
+      sent.refuses_connections = HasCrashed(server);
   }
 
   void Keep(const server_id& server, kept_connection used) {
@@ -121,10 +122,22 @@
     }
   }
 
-  // Tells a crashed server from a cut connection.
-  static bool RefusesConnections(const server_id& server) {
-    return !CanConnect(ParseSocketAddress(server.value()),
-                       limits::kConnectTimeout);
+  // Tells a crashed server from a cut connection. An exiting process may cut
+  // its connections before it stops listening, so a connection that it still
+  // accepts is watched for a while.
+  bool HasCrashed(const server_id& server) const {
+    const socket_address address = ParseSocketAddress(server.value());
+    const time_point end = clock_.Now().steady + limits::kCrashWatch;
+    for (time_point now = clock_.Now().steady; now < end;
+         now = clock_.Now().steady) {
+      const connection_fate fate =
+          WatchConnection(address, limits::kConnectTimeout,
+                          std::chrono::duration_cast<milliseconds>(end - now));
+      if (fate != connection_fate::kClosed)
+        return fate != connection_fate::kOpen;
+      std::this_thread::sleep_for(limits::kCrashRecheck);
+    }
+    return false;
   }
 
   const clock_source& clock_;
--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -1,4 +1,7 @@
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <set>
@@ -152,5 +155,66 @@
   CHECK(f.Send("x").result.failure == send_failure::kConnect);
 }
 
+// Cuts its first connection, and goes on listening until `listens` has passed.
+// An exiting process closes its sockets one by one in the same way.
+class dying_server {
+ public:
+  dying_server(milliseconds listens, bool closes_new_connections)
+      : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(at);
+    (void)bind(listener_, reinterpret_cast<sockaddr*>(&at), size);
+    listen(listener_, 16);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
+    id_ = server_id("127.0.0.1:" + std::to_string(ntohs(at.sin_port)));
+    thread_ = std::thread([this, listens, closes_new_connections] {
+      CloseOne();
+      if (closes_new_connections)
+        CloseOne();
+      std::this_thread::sleep_for(listens);
+      close(listener_);
+    });
+  }
+  ~dying_server() { thread_.join(); }
+  const server_id& id() const { return id_; }
+
+ private:
+  void CloseOne() const {
+    const int connection = accept(listener_, nullptr, nullptr);
+    shutdown(connection, SHUT_RDWR);
+    close(connection);
+  }
+
+  int listener_;
+  server_id id_;
+  std::thread thread_;
+};
+
+// Guards against crashes that are not counted because the exiting process still
+// accepts connections for a moment after it has cut the request's own.
+TEST_CASE("a server that accepts connections while it exits has crashed") {
+  struct row {
+    milliseconds listens;
+    bool closes_new_connections;
+    bool crashed;
+  };
+  for (const row& r :
+       {row{milliseconds(0), false, true}, row{milliseconds(5), false, true},
+        row{milliseconds(30), false, true}, row{milliseconds(30), true, true},
+        row{4 * limits::kCrashWatch, false, false},
+        row{4 * limits::kCrashWatch, true, false}}) {
+    CAPTURE(r.listens.count());
+    CAPTURE(r.closes_new_connections);
+    dying_server dying(r.listens, r.closes_new_connections);
+    fixture f;
+    f.server = dying.id();
+    const attempt sent = f.Send("x");
+    CHECK(sent.result.failure == send_failure::kCut);
+    CHECK(sent.refuses_connections == r.crashed);
+  }
+}
+
 }  // namespace
 }  // namespace dotterellead
