Forward idempotent requests to the home of a pool's servers

Cause: with few slots for each entry host a slot changes hands for single calls. Change: policy 'forwarded': the servers of a pool in one data centre share a home; an idempotent request that finds no idle slot goes to a home by the loads that homes report with their answers.

--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -18,6 +18,17 @@
 
 // ---- Messages
 
+// Where an attempt may run.
+enum class acquire_kind {
+  // On a slot of this host only. For non-idempotent requests.
+  kDirect,
+  // On a slot of this host, or at a home that has one.
+  kForwardable,
+  // Another host forwarded it to this one as a home: on a slot of the servers
+  // homed here only.
+  kForwarded,
+};
+
 // Asks for a slot for one attempt of a request.
 struct acquire {
   request_id request;
@@ -28,6 +39,25 @@
   // Servers that earlier attempts of the request used.
   std::vector<server_id> excluded;
   time_point deadline;
+  acquire_kind kind = acquire_kind::kDirect;
+};
+
+// Requests and slots of a pool's servers that have one home.
+struct home_load {
+  // In flight from the home, or waiting there.
+  std::uint32_t busy = 0;
+  // Slots that may be used now.
+  std::uint32_t usable = 0;
+  bool operator==(const home_load&) const = default;
+};
+
+// How a forwarded request ended.
+struct forward_ended {
+  request_id request;
+  pool_id pool;
+  member_id home;
+  // What the home's answer said. Unset: the home gave no answer.
+  std::optional<home_load> load;
 };
 
 // Gives up waiting; a slot assigned meanwhile comes back.
@@ -328,11 +358,27 @@
   milliseconds max_run;
 };
 
+// The answer to an acquire that may be forwarded: the home has a slot for it
+// sooner than this host.
+struct forwarded {
+  request_id request;
+  member_id home;
+};
+
+// The load of the pool's servers whose home is this host. Emitted when it
+// changes.
+struct home_load_changed {
+  pool_id pool;
+  home_load load;
+};
+
 enum class refusal_reason {
   kQueueFull,
   kDeadline,
   kNoServers,
   kUnknownPool,
+  // A forwarded request came to a host that cannot lend slots for it now.
+  kNotHome,
 };
 std::string_view to_string(refusal_reason reason);
 
@@ -419,6 +465,9 @@
 enum class choice_policy_kind {
   // Leased slots only; own data centre first, then the lowest cost.
   kLeased,
+  // As kLeased, but an idempotent request that finds no idle slot is forwarded
+  // to the home that has one, instead of the slot being moved to the request.
+  kForwarded,
   // Baselines without leases: they assign at once.
   kRoundRobin,
   kTwoChoices,
@@ -429,6 +478,8 @@
   virtual ~choice_policy() = default;
   // Whether only servers with an idle leased slot are candidates.
   virtual bool uses_leases() const = 0;
+  // Whether requests may be forwarded to homes.
+  virtual bool forwards() const { return false; }
   // Returns a position in `candidates`, which is not empty and is sorted by
   // server.
   virtual std::size_t Choose(std::span<const choice_candidate> candidates) = 0;
@@ -462,6 +513,7 @@
   using message = std::variant<acquire,
                                withdraw,
                                release,
+                               forward_ended,
                                config_changed,
                                homes_changed,
                                home_right_changed,
@@ -469,7 +521,12 @@
                                server_suspected,
                                balance_received,
                                tick>;
-  using effect = std::variant<assigned, refused, send_to_peer, balance_report>;
+  using effect = std::variant<assigned,
+                              forwarded,
+                              refused,
+                              home_load_changed,
+                              send_to_peer,
+                              balance_report>;
 
   explicit balance_machine(const balance_options& options = {});
   ~balance_machine();
--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -59,6 +59,8 @@
       return "no-servers";
     case refusal_reason::kUnknownPool:
       return "unknown-pool";
+    case refusal_reason::kNotHome:
+      return "not-home";
   }
   return "unknown-pool";
 }
@@ -94,12 +96,21 @@
       home_.emplace(servers_, step.now);
     std::visit([&](const auto& alternative) { On(alternative, step); }, m);
     Deliver(step);
+    PublishLoads(step);
   }
 
  private:
-  void On(const acquire& m, step_context& step) { holder_.On(m, step); }
+  void On(const acquire& m, step_context& step) {
+    holder_.On(m, LoadOf(m.pool, step.now), step);
+    touched_pool_ = m.pool;
+  }
   void On(const withdraw& m, step_context& step) { holder_.On(m, step); }
-  void On(const release& m, step_context& step) { holder_.On(m, step); }
+  void On(const release& m, step_context& step) {
+    if (const server_state* s = servers_.Find(m.server))
+      touched_pool_ = s->pool;
+    holder_.On(m, step);
+  }
+  void On(const forward_ended& m, step_context& step) { holder_.On(m, step); }
 
   void On(const config_changed& m, step_context& step) {
     servers_.SetConfig(*m.config, step.now);
@@ -134,6 +145,7 @@
   void On(const tick&, step_context& step) {
     holder_.OnTick(step);
     home_->OnTick(step);
+    all_touched_ = true;
     if (step.now >= next_report_)
       Report(step);
   }
@@ -192,6 +204,47 @@
     }
   }
 
+  // The load of the pool's servers that are homed here.
+  home_load LoadOf(const pool_id& name, time_point now) const {
+    home_load load;
+    const pool_info* pool = servers_.FindPool(name);
+    if (pool == nullptr)
+      return load;
+    load.busy = holder_.Busy(name);
+    for (const server_id& id : pool->servers) {
+      const server_state& s = *servers_.Find(id);
+      if (!servers_.IsHome(s) || !s.takes_work())
+        continue;
+      load.busy += home_->LentToOthers(id);
+      // Slots on lease stay usable while the host may not lend.
+      load.usable += home_->IsLending(id, now) ? s.usable_slots()
+                                               : holder_.UsableHeld(id, now);
+    }
+    return load;
+  }
+
+  void PublishLoads(step_context& step) {
+    if (std::exchange(all_touched_, false)) {
+      std::erase_if(loads_, [this](const auto& entry) {
+        return servers_.FindPool(entry.first) == nullptr;
+      });
+      for (const auto& [name, info] : servers_.pools())
+        PublishLoad(name, step);
+    } else if (touched_pool_.is_valid()) {
+      PublishLoad(touched_pool_, step);
+    }
+    touched_pool_ = pool_id();
+  }
+
+  void PublishLoad(const pool_id& pool, step_context& step) {
+    const home_load load = LoadOf(pool, step.now);
+    home_load& known = loads_[pool];
+    if (load == known)
+      return;
+    known = load;
+    step.effects.emplace_back(home_load_changed{pool, load});
+  }
+
   void Report(step_context& step) {
     next_report_ = step.now + kReportInterval;
     servers_.Fade();
@@ -232,6 +285,10 @@
   holder_role holder_;
   std::optional<home_role> home_;
   std::vector<send_to_peer> outbox_;
+  // The loads last published, and the pools whose load this step may change.
+  std::map<pool_id, home_load> loads_;
+  pool_id touched_pool_;
+  bool all_touched_ = false;
   time_point next_report_;
   std::uint64_t peer_messages_sent_ = 0;
 };
--- a/packages/balance/src/choice_policy.cc
+++ b/packages/balance/src/choice_policy.cc
@@ -25,6 +25,11 @@
   }
 };
 
+class forwarded_policy : public leased_policy {
+ public:
+  bool forwards() const override { return true; }
+};
+
 class round_robin_policy : public choice_policy {
  public:
   bool uses_leases() const override { return false; }
@@ -70,6 +75,8 @@
   switch (kind) {
     case choice_policy_kind::kLeased:
       return std::make_unique<leased_policy>();
+    case choice_policy_kind::kForwarded:
+      return std::make_unique<forwarded_policy>();
     case choice_policy_kind::kRoundRobin:
       return std::make_unique<round_robin_policy>();
     case choice_policy_kind::kTwoChoices:
--- a/packages/balance/src/directory.cc
+++ b/packages/balance/src/directory.cc
@@ -48,15 +48,21 @@
   return latency_us + failure_share * kFailureCostUs;
 }
 
+bool server_state::CanServe(const acquire& m, const server_id& id) const {
+  return takes_work() && (!m.version.is_valid() || spec.version == m.version) &&
+         std::find(m.excluded.begin(), m.excluded.end(), id) ==
+             m.excluded.end();
+}
+
 member_id ChooseHome(const std::vector<home_candidate>& members,
-                     const server_id& server,
+                     const pool_id& pool,
                      const data_centre_id& data_centre) {
+  const std::string suffix = "/" + pool.value() + "/" + data_centre.value();
   const home_candidate* best = nullptr;
   std::tuple<bool, std::uint64_t, member_id> best_rank;
   for (const home_candidate& member : members) {
     std::tuple rank(member.data_centre == data_centre,
-                    StableHash(member.id.value() + "/" + server.value()),
-                    member.id);
+                    StableHash(member.id.value() + suffix), member.id);
     if (best != nullptr && rank < best_rank)
       continue;
     best = &member;
@@ -138,7 +144,7 @@
 }
 
 void directory::SetHome(server_state& s, const server_id& id) {
-  member_id home = ChooseHome(members_, id, s.spec.data_centre);
+  member_id home = ChooseHome(members_, s.pool, s.spec.data_centre);
   if (home == s.home)
     return;
   s.home = std::move(home);
--- a/packages/balance/src/directory.h
+++ b/packages/balance/src/directory.h
@@ -60,6 +60,8 @@
     return is_doubtful() ? std::min(spec.cold_slots, spec.slots) : spec.slots;
   }
   double cost_us() const;
+  // Whether `m` may run on this server, which is called `id`.
+  bool CanServe(const acquire& m, const server_id& id) const;
 };
 
 struct pool_info {
@@ -71,10 +73,11 @@
   std::vector<server_id> servers;
 };
 
-// A server's home: the highest random weight among the members of its data
-// centre, or among all if it has none there. Invalid without members.
+// The home of a pool's servers in one data centre: the highest random weight
+// among the members of that data centre, or among all if it has none there.
+// Invalid without members.
 member_id ChooseHome(const std::vector<home_candidate>& members,
-                     const server_id& server,
+                     const pool_id& pool,
                      const data_centre_id& data_centre);
 
 class directory {
--- a/packages/balance/src/holder_leases.cc
+++ b/packages/balance/src/holder_leases.cc
@@ -139,13 +139,22 @@
 void holder_role::Ask(const pool_id& pool, step_context& step) {
   if (!policy_->uses_leases())
     return;
-  for (const auto& [version, count] : pools_[pool].queue.CountByVersion())
-    AskFor(pool, version, count, step);
+  const wait_queue& queue = pools_[pool].queue;
+  const auto all = queue.CountByVersion([](const acquire&) { return true; });
+  // Requests that this host serves as a home wait for its own slots only:
+  // slots that other homes lent to them would lie idle here afterwards.
+  const auto direct = queue.CountByVersion([this](const acquire& m) {
+    return !policy_->forwards() || m.kind == acquire_kind::kDirect;
+  });
+  for (const auto& [version, count] : all) {
+    const auto it = direct.find(version);
+    AskFor(pool, version, {count, it == direct.end() ? 0 : it->second}, step);
+  }
 }
 
 void holder_role::AskFor(const pool_id& pool,
                          const version_id& version,
-                         std::uint32_t count,
+                         const wanted_slots& wanted,
                          step_context& step) {
   ask_state& state = pools_[pool].asks[version];
   const std::vector<member_id> homes =
@@ -154,15 +163,15 @@
   // here again.
   const member_id& self = servers_.options().self;
   if (std::find(homes.begin(), homes.end(), self) != homes.end()) {
-    AskHome(pool, version, count, self, step);
+    AskHome(pool, version, wanted.here, self, step);
     return;
   }
-  if (homes.empty() || step.now < state.next_ask)
+  if (homes.empty() || wanted.elsewhere == 0 || step.now < state.next_ask)
     return;
   state.next_ask = step.now + kAskInterval;
   const std::size_t asked = std::min(kAskFanOut, homes.size());
   for (std::size_t i = 0; i < asked; ++i)
-    AskHome(pool, version, count, homes[i], step);
+    AskHome(pool, version, wanted.elsewhere, homes[i], step);
 }
 
 // Spare slots elsewhere would otherwise keep requests away from a local server
--- a/packages/balance/src/holder_role.cc
+++ b/packages/balance/src/holder_role.cc
@@ -36,10 +36,14 @@
 
 holder_role::holder_role(directory& servers)
     : servers_(servers),
+      forwards_(servers),
       policy_(
           MakeChoicePolicy(servers.options().policy, servers.options().seed)) {}
 
-void holder_role::On(const acquire& m, step_context& step) {
+void holder_role::On(const acquire& wanted,
+                     const home_load& own,
+                     step_context& step) {
+  acquire m = wanted;
   const pool_info* info = servers_.FindPool(m.pool);
   if (info == nullptr)
     return Refuse(m, refusal_reason::kUnknownPool, step);
@@ -50,6 +54,8 @@
   pool_state& pool = pools_[m.pool];
   if (pool.queue.empty() && TryAssign(m, step))
     return;
+  if (SendElsewhere(m, own, step))
+    return;
   // Asking for a slot takes a message even if no request waits, so a queue
   // holds one at least.
   const std::size_t capacity = std::max<std::size_t>(info->queue_length, 1);
@@ -58,6 +64,42 @@
   ServeWaiting(m.pool, step);
 }
 
+bool holder_role::IsHomeFor(const acquire& m) const {
+  const pool_info* pool = servers_.FindPool(m.pool);
+  return std::any_of(pool->servers.begin(), pool->servers.end(),
+                     [&](const server_id& id) {
+                       const server_state& s = *servers_.Find(id);
+                       return servers_.IsHome(s) && s.CanServe(m, id);
+                     });
+}
+
+bool holder_role::SendElsewhere(acquire& m,
+                                const home_load& own,
+                                step_context& step) {
+  if (m.kind == acquire_kind::kForwarded) {
+    if (own.usable > 0 && IsHomeFor(m))
+      return false;
+    Refuse(m, refusal_reason::kNotHome, step);
+    return true;
+  }
+  if (m.kind != acquire_kind::kForwardable || !policy_->forwards())
+    return false;
+  const std::optional<member_id> home = forwards_.Choose(m, own, step.now);
+  if (!home) {
+    m.kind = acquire_kind::kDirect;
+    return false;
+  }
+  if (*home == servers_.options().self)
+    return false;
+  forwards_.Begin(m.pool, *home);
+  step.effects.emplace_back(forwarded{m.request, *home});
+  return true;
+}
+
+void holder_role::On(const forward_ended& m, step_context& step) {
+  forwards_.On(m, step.now);
+}
+
 void holder_role::On(const withdraw& m, step_context& step) {
   for (auto& [name, pool] : pools_) {
     pool.queue.RemoveIf(
@@ -105,6 +147,7 @@
 }
 
 void holder_role::OnDirectoryChanged(step_context& step) {
+  forwards_.OnDirectoryChanged();
   // What homes answered holds no longer if servers have other homes.
   for (auto& [name, pool] : pools_)
     pool.asks.clear();
@@ -116,8 +159,10 @@
 
 void holder_role::OnServersChanged(step_context& step) {
   Review(step.now);
-  for (auto& [name, pool] : pools_)
+  for (auto& [name, pool] : pools_) {
     RefuseHopeless(pool, step);
+    ReviewHomeWaits(pool, step);
+  }
   for (const auto& [name, info] : servers_.pools())
     ServeWaiting(name, step);
 }
@@ -133,6 +178,19 @@
   });
 }
 
+void holder_role::ReviewHomeWaits(pool_state& pool, step_context& step) {
+  pool.queue.RemoveIf([&](const acquire& m) {
+    if (m.kind != acquire_kind::kForwarded || IsHomeFor(m))
+      return false;
+    Refuse(m, refusal_reason::kNotHome, step);
+    return true;
+  });
+  pool.queue.ForEach([&](acquire& m) {
+    if (m.kind == acquire_kind::kForwardable && !IsHomeFor(m))
+      m.kind = acquire_kind::kDirect;
+  });
+}
+
 void holder_role::OnTick(step_context& step) {
   EndOverdueUses(step);
   Review(step.now);
@@ -157,13 +215,8 @@
 bool holder_role::HasEligibleServer(const acquire& m) const {
   const pool_info* pool = servers_.FindPool(m.pool);
   return std::any_of(
-      pool->servers.begin(), pool->servers.end(), [&](const server_id& id) {
-        const server_state& s = *servers_.Find(id);
-        return s.takes_work() &&
-               (!m.version.is_valid() || s.spec.version == m.version) &&
-               std::find(m.excluded.begin(), m.excluded.end(), id) ==
-                   m.excluded.end();
-      });
+      pool->servers.begin(), pool->servers.end(),
+      [&](const server_id& id) { return servers_.Find(id)->CanServe(m, id); });
 }
 
 bool holder_role::IsUsable(const held_lease& lease, time_point now) {
@@ -194,10 +247,7 @@
     return candidates;
   for (const server_id& id : pool->servers) {
     const server_state& s = *servers_.Find(id);
-    if (!s.takes_work() ||
-        (m.version.is_valid() && s.spec.version != m.version) ||
-        std::find(m.excluded.begin(), m.excluded.end(), id) !=
-            m.excluded.end() ||
+    if (!s.CanServe(m, id) ||
         (policy_->uses_leases() && FindIdle(id, now) == nullptr)) {
       continue;
     }
@@ -284,6 +334,28 @@
     counts.in_use = s->own_in_flight;
 }
 
+std::uint32_t holder_role::Busy(const pool_id& name) const {
+  std::uint32_t busy = Waiting(name);
+  for (const server_id& id : servers_.FindPool(name)->servers) {
+    const server_state& s = *servers_.Find(id);
+    busy += servers_.IsHome(s) ? s.own_in_flight : 0;
+  }
+  return busy;
+}
+
+std::uint32_t holder_role::UsableHeld(const server_id& server,
+                                      time_point now) const {
+  const auto it = leases_.find(server);
+  if (it == leases_.end())
+    return 0;
+  const std::uint32_t usable = servers_.Find(server)->usable_slots();
+  return static_cast<std::uint32_t>(
+      std::count_if(it->second.begin(), it->second.end(), [&](const auto& e) {
+        return e.first.value() < usable && !e.second.lost &&
+               e.second.expiry > now + kLeastLeaseLeft;
+      }));
+}
+
 std::uint32_t holder_role::Waiting(const pool_id& pool) const {
   const auto it = pools_.find(pool);
   return it == pools_.end()
--- a/packages/balance/src/holder_role.h
+++ b/packages/balance/src/holder_role.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "directory.h"
+#include "forward_role.h"
 #include "wait_queue.h"
 
 namespace dotterellead {
@@ -16,7 +17,9 @@
  public:
   explicit holder_role(directory& servers);
 
-  void On(const acquire& m, step_context& step);
+  // `own` is this host's load as a home of the pool.
+  void On(const acquire& m, const home_load& own, step_context& step);
+  void On(const forward_ended& m, step_context& step);
   void On(const withdraw& m, step_context& step);
   void On(const release& m, step_context& step);
   // The directory has a new config or new homes.
@@ -33,6 +36,11 @@
   void SendReturns(step_context& step);
 
   void Count(const server_id& server, server_balance& counts) const;
+  // Requests of the pool in flight from this host on servers homed here, or
+  // waiting.
+  std::uint32_t Busy(const pool_id& pool) const;
+  // Slots of a server that this host holds and may use.
+  std::uint32_t UsableHeld(const server_id& server, time_point now) const;
   std::uint32_t Waiting(const pool_id& pool) const;
   std::uint64_t leases_expired() const { return leases_expired_; }
 
@@ -77,6 +85,11 @@
     // A request went to another data centre since the last renewal.
     bool used_other_data_centre = false;
   };
+  // Slots that waiting requests need: of this host as a home, and of others.
+  struct wanted_slots {
+    std::uint32_t here = 0;
+    std::uint32_t elsewhere = 0;
+  };
   struct sent_message {
     time_point at;
     std::vector<lease_ref> leases;
@@ -89,6 +102,11 @@
 
   // holder_role.cc: requests and slots in use.
   bool TryAssign(const acquire& m, step_context& step);
+  // Forwards the request, or refuses it, if it cannot wait at this host.
+  bool SendElsewhere(acquire& m, const home_load& own, step_context& step);
+  // Waiting requests that depend on this host as a home it no longer is.
+  void ReviewHomeWaits(pool_state& pool, step_context& step);
+  bool IsHomeFor(const acquire& m) const;
   std::vector<choice_candidate> Candidates(const acquire& m,
                                            time_point now) const;
   bool HasEligibleServer(const acquire& m) const;
@@ -118,7 +136,7 @@
   void Ask(const pool_id& pool, step_context& step);
   void AskFor(const pool_id& pool,
               const version_id& version,
-              std::uint32_t count,
+              const wanted_slots& wanted,
               step_context& step);
   void AskHome(const pool_id& pool,
                const version_id& version,
@@ -143,6 +161,7 @@
   void ForgetSent(time_point now);
 
   directory& servers_;
+  forward_role forwards_;
   std::unique_ptr<choice_policy> policy_;
   std::map<pool_id, pool_state> pools_;
   std::map<server_id, server_leases> leases_;
--- a/packages/balance/src/home_role.cc
+++ b/packages/balance/src/home_role.cc
@@ -447,6 +447,16 @@
          IsLendable(it->second, *s);
 }
 
+std::uint32_t home_role::LentToOthers(const server_id& server) const {
+  const auto it = tables_.find(server);
+  if (it == tables_.end())
+    return 0;
+  return static_cast<std::uint32_t>(std::count_if(
+      it->second.slots.begin(), it->second.slots.end(), [&](const auto& e) {
+        return e.has_value() && e->holder != servers_.options().self;
+      }));
+}
+
 std::uint32_t home_role::Lent(const server_id& server) const {
   const auto it = tables_.find(server);
   if (it == tables_.end())
--- a/packages/balance/src/home_role.h
+++ b/packages/balance/src/home_role.h
@@ -31,6 +31,8 @@
 
   bool IsLending(const server_id& server, time_point now) const;
   std::uint32_t Lent(const server_id& server) const;
+  // Slots lent to other hosts.
+  std::uint32_t LentToOthers(const server_id& server) const;
   std::uint64_t slots_reclaimed() const { return slots_reclaimed_; }
 
  private:
--- a/packages/balance/src/wait_queue.cc
+++ b/packages/balance/src/wait_queue.cc
@@ -59,13 +59,21 @@
                 [](const auto& entry) { return entry.second.empty(); });
 }
 
-std::map<version_id, std::uint32_t> wait_queue::CountByVersion() const {
+std::map<version_id, std::uint32_t> wait_queue::CountByVersion(
+    const std::function<bool(const acquire&)>& matches) const {
   std::map<version_id, std::uint32_t> counts;
   for (const auto& [tenant, waiting] : tenants_) {
-    for (const acquire& m : waiting)
-      ++counts[m.version];
+    for (const acquire& m : waiting) {
+      if (matches(m))
+        ++counts[m.version];
+    }
   }
   return counts;
 }
 
+void wait_queue::ForEach(const std::function<void(acquire&)>& change) {
+  for (auto& [tenant, waiting] : tenants_)
+    std::for_each(waiting.begin(), waiting.end(), change);
+}
+
 }  // namespace dotterellead
--- a/packages/balance/src/wait_queue.h
+++ b/packages/balance/src/wait_queue.h
@@ -22,8 +22,11 @@
   void Serve(const std::function<bool(const acquire&)>& take);
   // Removes requests that match.
   void RemoveIf(const std::function<bool(const acquire&)>& matches);
-  // Number of waiting requests for each wanted version.
-  std::map<version_id, std::uint32_t> CountByVersion() const;
+  // Number of waiting requests that match, for each wanted version.
+  std::map<version_id, std::uint32_t> CountByVersion(
+      const std::function<bool(const acquire&)>& matches) const;
+  // Changes each waiting request by `change`.
+  void ForEach(const std::function<void(acquire&)>& change);
   std::size_t size() const { return size_; }
   bool empty() const { return size_ == 0; }
 
--- a/packages/balance/tests/balance_machine_test.cc
+++ b/packages/balance/tests/balance_machine_test.cc
@@ -186,12 +186,12 @@
   std::vector<home_candidate> fewer(members.begin() + 2, members.end());
   std::set<member_id> homes;
   for (int i = 0; i < 200; ++i) {
-    const server_id server("10.0.0." + std::to_string(i) + ":80");
-    const member_id home = ChooseHome(members, server, data_centre_id("a"));
-    const member_id next = ChooseHome(fewer, server, data_centre_id("a"));
+    const pool_id pool("pool" + std::to_string(i));
+    const member_id home = ChooseHome(members, pool, data_centre_id("a"));
+    const member_id next = ChooseHome(fewer, pool, data_centre_id("a"));
     CHECK((home == members[0].id || home == next));
     homes.insert(home);
-    CHECK(ChooseHome(members, server, data_centre_id("c")).is_valid());
+    CHECK(ChooseHome(members, pool, data_centre_id("c")).is_valid());
   }
   CHECK(homes.size() == 6);
   CHECK_FALSE(homes.contains(members[1].id));
--- a/packages/balance/tests/balance_measure_test.cc
+++ b/packages/balance/tests/balance_measure_test.cc
@@ -25,7 +25,8 @@
 TEST_CASE("leases compared with choices from local views at 80% load") {
   std::map<choice_policy_kind, double> p99;
   for (const policy_row& row :
-       {policy_row{"leased", choice_policy_kind::kLeased},
+       {policy_row{"forwarded", choice_policy_kind::kForwarded},
+        policy_row{"leased", choice_policy_kind::kLeased},
         policy_row{"round_robin", choice_policy_kind::kRoundRobin},
         policy_row{"two_choices", choice_policy_kind::kTwoChoices}}) {
     // 72 slots of 20 ms runs: 3600 requests per second are a full load.
@@ -51,15 +52,18 @@
     p99[row.kind] = WaitMs(c.waits(), 0.99);
     fmt::print(
         "policy={} assigned={} refused={} slots_exceeded={} wait_ms_p50={:.2f} "
-        "p90={:.2f} p99={:.2f} p999={:.2f} peer_bytes_per_host_s={}\n",
+        "p90={:.2f} p99={:.2f} p999={:.2f} forwarded={} "
+        "peer_bytes_per_host_s={}\n",
         row.name, counts.assigned, counts.refused, counts.slots_exceeded,
         WaitMs(c.waits(), 0.5), WaitMs(c.waits(), 0.9), p99[row.kind],
-        WaitMs(c.waits(), 0.999), counts.bytes / 10 / 16);
-    const bool is_leased = row.kind == choice_policy_kind::kLeased;
-    CHECK((counts.slots_exceeded == 0) == is_leased);
-    CHECK((counts.bytes > 0) == is_leased);
+        WaitMs(c.waits(), 0.999), counts.forwarded, counts.bytes / 10 / 16);
+    const bool has_leases = row.kind == choice_policy_kind::kLeased ||
+                            row.kind == choice_policy_kind::kForwarded;
+    CHECK((counts.slots_exceeded == 0) == has_leases);
+    CHECK((counts.bytes > 0) == (row.kind == choice_policy_kind::kLeased));
     CHECK(counts.refused == 0);
   }
+  CHECK(p99[choice_policy_kind::kForwarded] < p99[choice_policy_kind::kLeased]);
   CHECK(p99[choice_policy_kind::kLeased] <
         p99[choice_policy_kind::kRoundRobin]);
   CHECK(p99[choice_policy_kind::kLeased] <
--- a/packages/balance/tests/fake_cluster.h
+++ b/packages/balance/tests/fake_cluster.h
@@ -79,6 +79,13 @@
     hosts_[i].while_paused.clear();
     hosts_[i].paused = false;
     hosts_[i].epoch = epoch_number();
+    // The connections of requests that others forwarded to it break.
+    std::vector<request_id> cut;
+    for (const auto& [request, f] : forwards_)
+      if (f.home == i)
+        cut.push_back(request);
+    for (const request_id request : cut)
+      EndForward(request, std::nullopt, true);
   }
   void Restart(int i) {
     fake_host& h = hosts_[i];
@@ -151,11 +158,10 @@
   void Call(int i) {
     const request_id request(next_request_++);
     called_at_[request] = now_;
-    acquire m{.request = request,
-              .pool = pool_id("pool"),
-              .tenant = tenant_id("tenant"),
-              .deadline = HostNow(i).steady + options_.patience};
-    Step(i, m);
+    Acquire(i, request,
+            options_.policy == choice_policy_kind::kForwarded
+                ? acquire_kind::kForwardable
+                : acquire_kind::kDirect);
   }
   void Step(int i, const balance_machine::message& m) {
     fake_host& h = hosts_[i];
@@ -194,8 +200,8 @@
     std::vector<home_candidate> members;
     for (const int i : epochs_.at(newest_epoch_.value()))
       members.push_back(hosts_[i].candidate);
-    const member_id home = ChooseHomeOf(members, ServerId(server),
-                                        data_centre_id(DataCentre(server)));
+    const member_id home =
+        ChooseHomeOf(members, data_centre_id(DataCentre(server)));
     for (int i = 0; i < options_.hosts; ++i)
       if (hosts_[i].candidate.id == home)
         return i;
@@ -224,6 +230,10 @@
       return std::pair(at, order) > std::pair(other.at, other.order);
     }
   };
+  struct forward {
+    int origin = 0;
+    int home = 0;
+  };
   struct attempt {
     int host = 0;
     incarnation_id incarnation;
@@ -239,13 +249,13 @@
   }
   // The rule of the machine, repeated here from its description.
   static member_id ChooseHomeOf(const std::vector<home_candidate>& members,
-                                const server_id& server,
                                 const data_centre_id& data_centre) {
     std::vector<std::tuple<bool, std::uint64_t, member_id>> ranks;
     ranks.reserve(members.size());
     for (const home_candidate& m : members)
-      ranks.emplace_back(m.data_centre == data_centre,
-                         StableHash(m.id.value() + "/" + server.value()), m.id);
+      ranks.emplace_back(
+          m.data_centre == data_centre,
+          StableHash(m.id.value() + "/pool/" + data_centre.value()), m.id);
     return std::get<member_id>(*std::max_element(ranks.begin(), ranks.end()));
   }
 
@@ -349,6 +359,54 @@
 
   // ---- Effects
 
+  void Acquire(int i, request_id request, acquire_kind kind) {
+    Step(i, acquire{.request = request,
+                    .pool = pool_id("pool"),
+                    .tenant = tenant_id("tenant"),
+                    .deadline = HostNow(i).steady + options_.patience,
+                    .kind = kind});
+  }
+  microseconds Delay() {
+    const network_quality& n = options_.network;
+    const auto range = (n.most_delay - n.least_delay).count() + 1;
+    return n.least_delay + microseconds(random_() % range);
+  }
+  void Carry(int i, const home_load_changed& m) { hosts_[i].load = m.load; }
+  void Carry(int i, const forwarded& m) {
+    ++counts_.forwarded;
+    int home = 0;
+    while (hosts_[home].candidate.id != m.home)
+      ++home;
+    forwards_[m.request] = {i, home};
+    After(Delay(), [this, i, home, request = m.request] {
+      if (!forwards_.contains(request))
+        return;
+      if (!hosts_[home].machine || side_.contains(i) != side_.contains(home))
+        return EndForward(request, std::nullopt, true);
+      OnHost(home, [this, home, request] {
+        if (forwards_.contains(request))
+          Acquire(home, request, acquire_kind::kForwarded);
+      });
+    });
+  }
+  // Tells the host that forwarded the request, which may try it again.
+  void EndForward(request_id request,
+                  const std::optional<home_load>& load,
+                  bool again) {
+    const auto node = forwards_.extract(request);
+    if (node.empty())
+      return;
+    const forward f = node.mapped();
+    const member_id home = hosts_[f.home].candidate.id;
+    After(Delay(), [this, f, request, load, home, again] {
+      OnHost(f.origin, [this, f, request, load, home, again] {
+        Step(f.origin, forward_ended{request, pool_id("pool"), home, load});
+        if (again && called_at_.contains(request))
+          Acquire(f.origin, request, acquire_kind::kForwardable);
+      });
+    });
+  }
+
   void Carry(int i, const send_to_peer& m) {
     const std::string text = EncodeBalanceMessage(m.body);
     ++counts_.messages;
@@ -359,12 +417,8 @@
       copies = 0;
     else if (Chance(n.repeat))
       copies = 2;
-    for (int copy = 0; copy < copies; ++copy) {
-      const auto range = (n.most_delay - n.least_delay).count() + 1;
-      const microseconds delay =
-          n.least_delay + microseconds(random_() % range);
-      After(delay, [this, i, to = m.to, text] { Arrive(i, to, text); });
-    }
+    for (int copy = 0; copy < copies; ++copy)
+      After(Delay(), [this, i, to = m.to, text] { Arrive(i, to, text); });
   }
   void Arrive(int from, const member_id& to, const std::string& text) {
     for (int i = 0; i < options_.hosts; ++i) {
@@ -378,7 +432,13 @@
       });
     }
   }
-  void Carry(int, const refused& m) {
+  void Carry(int i, const refused& m) {
+    const bool is_forwarded = forwards_.contains(m.request);
+    const bool again = m.reason == refusal_reason::kNotHome;
+    if (is_forwarded)
+      EndForward(m.request, hosts_[i].load, again);
+    if (is_forwarded && again)
+      return;
     ++counts_.refused;
     called_at_.erase(m.request);
   }
@@ -468,6 +528,7 @@
       if (shows_cold && s.cold && !s.known_cold_at)
         s.known_cold_at = now_;
       Step(a.host, m);
+      EndForward(m.request, hosts_[a.host].load, false);
     });
   }
   bool Chance(double probability) {
@@ -491,6 +552,7 @@
       ended_;
   config_snapshot config_;
   std::map<request_id, time_point> called_at_;
+  std::map<request_id, forward> forwards_;
   std::vector<microseconds> waits_;
   cluster_counts counts_;
 };
--- a/packages/balance/tests/fake_parts.h
+++ b/packages/balance/tests/fake_parts.h
@@ -65,12 +65,15 @@
   std::deque<std::function<void()>> while_paused;
   epoch_number epoch;
   bool takes_calls = true;
+  // The host's load as a home.
+  home_load load;
   balance_report report;
 };
 
 struct cluster_counts {
   std::uint64_t assigned = 0;
   std::uint64_t refused = 0;
+  std::uint64_t forwarded = 0;
   std::uint64_t slots_exceeded = 0;
   std::uint64_t cold_exceeded = 0;
   std::uint64_t sent_to_draining = 0;
