Forward idempotent requests between entry hosts

The balance duty decides which requests are forwarded, but nothing carried them. The request path now sends such a request to the home's forward listener, with one envelope header each way, and the home serves it on a slot of its own. Retries, strikes, evidence and metrics stay with the host that the caller used. The policy forwarded is the default.

An attempt that certainly did not run is tried elsewhere outside the retry budget unless a server shed it; the last attempt waits for a slot on lease. The harness gives entry hosts every second peer port, since the next one is the forward listener's.

--- a/apps/dotterellead/entry_host.cc
+++ b/apps/dotterellead/entry_host.cc
@@ -54,8 +54,10 @@
 choice_policy_kind PolicyOf(const std::string& name) {
   if (name == "round_robin")
     return choice_policy_kind::kRoundRobin;
-  return name == "two_choices" ? choice_policy_kind::kTwoChoices
-                               : choice_policy_kind::kLeased;
+  if (name == "two_choices")
+    return choice_policy_kind::kTwoChoices;
+  return name == "leased" ? choice_policy_kind::kLeased
+                          : choice_policy_kind::kForwarded;
 }
 
 // Counts a request for as long as it lives.
@@ -83,6 +85,7 @@
       claims_adapter_(clock_),
       admission_adapter_(clock_),
       transport_(clock_),
+      homes_(clock_, directory_, settings_.peer_secret),
       links_({.secret = settings_.peer_secret}),
       view_({self_.id, self_.data_centre, incarnation_, clock_, feed_, state_,
              directory_, metrics_, [this] { return PeerStats(); }}),
@@ -145,7 +148,7 @@
                     kRelayTick,
                     [this](chore_relay::effect& e) { DoChore(e); }),
       flow_({slots_, ClaimGateInUse(), admission_adapter_, versions_,
-             transport_, metrics_, clock_,
+             transport_, homes_, metrics_, clock_,
              [this] { return state_.Serving(); }}),
       callers_({.address = settings_.caller_address,
                 .threads = settings_.caller_threads,
@@ -153,6 +156,12 @@
                [this](const http_request& request, const http_peer& caller) {
                  return Serve(request, caller);
                }),
+      forwards_({.peer_address = settings_.peer_address,
+                 .secret = settings_.peer_secret,
+                 .decorate = MarkNotRun},
+                [this](const http_request& request, const http_peer& caller) {
+                  return ServeForwarded(request, caller);
+                }),
       operator_api_(view_, clock_, settings_.operator_secret),
       operators_(
           {.address = settings_.operator_address, .threads = kOperatorThreads},
@@ -200,6 +209,12 @@
   return flow_.Handle(request, caller);
 }
 
+http_answer entry_host::impl::ServeForwarded(const http_request& request,
+                                             const http_peer& caller) {
+  const in_flight_guard guard(state_.in_flight);
+  return flow_.HandleForwarded(request, caller);
+}
+
 // ---- Start and stop
 
 void entry_host::impl::OpenLog() {
@@ -266,6 +281,7 @@
   callers_.Start();
   if (!HasLog())
     return;
+  forwards_.Start();
   peers_.Start();
   for (stream_access* stream : Streams())
     stream->Start();
@@ -283,6 +299,8 @@
     std::quick_exit(0);
   }
   callers_.Stop();
+  if (HasLog())
+    forwards_.Stop();
   operators_.Stop();
   StopInputs();
   StopDecisions();
--- a/apps/dotterellead/entry_host_effects.cc
+++ b/apps/dotterellead/entry_host_effects.cc
@@ -19,10 +19,18 @@
   slots_.Deliver(e);
 }
 
+void entry_host::impl::Carry(forwarded& e) {
+  slots_.Deliver(e);
+}
+
 void entry_host::impl::Carry(refused& e) {
   slots_.Deliver(e);
 }
 
+void entry_host::impl::Carry(home_load_changed& e) {
+  slots_.SetLoad(e);
+}
+
 void entry_host::impl::Carry(send_to_peer& e) {
   SendTo(e.to, "balance",
          EncodeEnvelope({self_.id, EncodeBalanceMessage(e.body)}));
@@ -316,6 +324,7 @@
 void entry_host::impl::Carry(leaving_started&) {
   state_.leaving = true;
   callers_.BeginClosing();
+  forwards_.BeginClosing();
   if (HasLog())
     membership_.Post(leaving{});
 }
--- a/apps/dotterellead/entry_host_impl.h
+++ b/apps/dotterellead/entry_host_impl.h
@@ -15,6 +15,7 @@
 #include "dotterellead/operate.h"
 #include "dotterellead/peer.h"
 #include "entry_host.h"
+#include "forwarding.h"
 #include "host_reports.h"
 #include "log_access.h"
 #include "operator_view.h"
@@ -91,6 +92,8 @@
   std::size_t WaitForStopReady();
   std::vector<stream_access*> Streams();
   http_answer Serve(const http_request& request, const http_peer& caller);
+  http_answer ServeForwarded(const http_request& request,
+                             const http_peer& caller);
 
   // A sink that hands each effect to the overload of Carry for its type.
   template <class Machine>
@@ -102,7 +105,9 @@
 
   // Balance.
   void Carry(assigned& e);
+  void Carry(forwarded& e);
   void Carry(refused& e);
+  void Carry(home_load_changed& e);
   void Carry(send_to_peer& e);
   void Carry(balance_report& e);
   // Membership.
@@ -187,6 +192,7 @@
   admission_adapter admission_adapter_;
   version_adapter versions_;
   pooled_transport transport_;
+  home_sender homes_;
   prober prober_;
   std::unique_ptr<http_log_client> log_;
   std::unique_ptr<http_host_list_client> host_list_;
@@ -221,6 +227,7 @@
 
   request_flow flow_;
   http_listener callers_;
+  forward_listener forwards_;
   operator_api operator_api_;
   http_listener operators_;
   peer_listener peers_;
--- a/apps/dotterellead/settings.cc
+++ b/apps/dotterellead/settings.cc
@@ -19,7 +19,7 @@
   std::string log_address;
   std::string host_list_address;
   std::string resources_file;
-  std::string choice_policy = "leased";
+  std::string choice_policy = "forwarded";
   std::size_t caller_threads = limits::kCallerThreads;
   std::int64_t shutdown_grace_ms = limits::kShutdownGrace.count();
   std::string level = "info";
@@ -68,7 +68,8 @@
       ->envname("DOTTERELLEAD_OPERATOR_ADDRESS")
       ->required();
   app.add_option("--peer-address", raw.peer_address,
-                 "IP:port that other entry hosts use")
+                 "IP:port that other entry hosts use; the next port takes "
+                 "forwarded requests")
       ->envname("DOTTERELLEAD_PEER_ADDRESS")
       ->required();
   app.add_option("--peers", raw.peers,
@@ -85,9 +86,11 @@
                  "File with one JSON resource per line, instead of the log")
       ->envname("DOTTERELLEAD_RESOURCES");
   app.add_option("--choice-policy", raw.choice_policy,
-                 "Choice among servers: leased, round_robin or two_choices")
+                 "Choice among servers: forwarded (the default), leased, "
+                 "round_robin or two_choices")
       ->envname("DOTTERELLEAD_CHOICE_POLICY")
-      ->check(CLI::IsMember({"leased", "round_robin", "two_choices"}));
+      ->check(
+          CLI::IsMember({"forwarded", "leased", "round_robin", "two_choices"}));
   app.add_option("--caller-threads", raw.caller_threads,
                  "Caller connections served at once")
       ->envname("DOTTERELLEAD_CALLER_THREADS")
@@ -121,6 +124,12 @@
   s.caller_address = CheckAddress("--caller-address", raw.caller_address);
   s.operator_address = CheckAddress("--operator-address", raw.operator_address);
   s.peer_address = CheckAddress("--peer-address", raw.peer_address);
+  if (s.peer_address.port == UINT16_MAX) {
+    throw invalid_setting_error(
+        "--peer-address: the next port, which takes forwarded requests, does "
+        "not exist",
+        "use a port up to 65534");
+  }
   for (const std::string& peer : raw.peers)
     s.peers.push_back(CheckAddress("--peers", peer));
   s.log_address = CheckOptionalAddress("--log-address", raw.log_address);
--- a/apps/dotterellead/slot_adapter.cc
+++ b/apps/dotterellead/slot_adapter.cc
@@ -12,7 +12,8 @@
 
 }  // namespace
 
-std::variant<assigned, refused> slot_adapter::Acquire(const acquire& wanted) {
+std::variant<assigned, forwarded, refused> slot_adapter::Acquire(
+    const acquire& wanted) {
   replies_.Expect(wanted.request);
   if (!balance_->Post(wanted)) {
     replies_.Await(wanted.request, time_point());
@@ -35,6 +36,24 @@
   }
 }
 
+void slot_adapter::EndForward(const forward_ended& ended) {
+  if (!balance_->PostUntil(ended, clock_.Now().steady + kReleaseWait)) {
+    LogEvent(log_level::kError, "forward-end-lost",
+             {{"request", std::to_string(ended.request.value())}});
+  }
+}
+
+home_load slot_adapter::LoadOf(const pool_id& pool) {
+  std::lock_guard lock(mutex_);
+  const auto it = loads_.find(pool);
+  return it == loads_.end() ? home_load{} : it->second;
+}
+
+void slot_adapter::SetLoad(const home_load_changed& changed) {
+  std::lock_guard lock(mutex_);
+  loads_[changed.pool] = changed.load;
+}
+
 void slot_adapter::SetLent(const balance_report& report) {
   std::lock_guard lock(mutex_);
   lent_.clear();
@@ -68,6 +87,15 @@
     balance_->Post(withdraw{answer.request});
 }
 
+void slot_adapter::Deliver(const forwarded& answer) {
+  // A decision to forward is made at once, so its request waits for it unless
+  // this duty is later than the request's deadline.
+  if (!replies_.Fulfil(answer.request, answer)) {
+    LogEvent(log_level::kWarning, "forward-not-taken",
+             {{"home", answer.home.value()}});
+  }
+}
+
 void slot_adapter::Deliver(const refused& answer) {
   replies_.Fulfil(answer.request, answer);
 }
--- a/apps/dotterellead/slot_adapter.h
+++ b/apps/dotterellead/slot_adapter.h
@@ -23,18 +23,24 @@
     measure_ = &measure;
   }
 
-  std::variant<assigned, refused> Acquire(const acquire& wanted) override;
+  std::variant<assigned, forwarded, refused> Acquire(
+      const acquire& wanted) override;
   void Release(const release& result) override;
+  void EndForward(const forward_ended& ended) override;
+  home_load LoadOf(const pool_id& pool) override;
 
   // Delivers the duty's answers; an assignment that nobody waits for any more
   // is given back.
   void Deliver(const assigned& answer);
+  void Deliver(const forwarded& answer);
   void Deliver(const refused& answer);
+  // Takes over the load of a pool's servers that are homed here.
+  void SetLoad(const home_load_changed& changed);
   // Takes over how many slots each server homed here has lent.
   void SetLent(const balance_report& report);
 
  private:
-  using reply = std::variant<assigned, refused>;
+  using reply = std::variant<assigned, forwarded, refused>;
   void Return(request_id request);
   void TellMeasure(const release& result);
 
@@ -44,6 +50,7 @@
   duty<measure_machine>* measure_ = nullptr;
   std::mutex mutex_;
   std::map<server_id, std::uint32_t> lent_;
+  std::map<pool_id, home_load> loads_;
   reply_table<reply> replies_;
 };
 
--- a/bench/policies.cc
+++ b/bench/policies.cc
@@ -42,7 +42,8 @@
                                kEntryHosts, kSlots, kBurst),
           .columns = {"policy", "load", "slots exceeded", "max in flight",
                       "p50", "p99", "p99.9", "samples", "failures"}};
-  for (const char* policy : {"leased", "round_robin", "two_choices"}) {
+  for (const char* policy :
+       {"forwarded", "leased", "round_robin", "two_choices"}) {
     if (options.quick && policy != std::string_view("leased"))
       continue;
     harness::cluster_options cluster =
--- a/packages/http/include/dotterellead/http.h
+++ b/packages/http/include/dotterellead/http.h
@@ -76,6 +76,8 @@
   // One thread serves one connection while it is open.
   std::size_t threads = 16;
   byte_count max_body{limits::kMaxBodyBytes};
+  std::size_t max_headers = limits::kMaxHeaders;
+  byte_count max_header_bytes{limits::kMaxHeaderBytes};
   milliseconds idle_timeout{5'000};
   milliseconds read_timeout{5'000};
   std::function<void(http_answer&)> decorate;
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -64,8 +64,10 @@
 // Buffered reads and bounded waits over an accepted socket.
 class socket_stream : public httplib::Stream {
  public:
-  socket_stream(int socket, milliseconds timeout)
-      : socket_(socket), timeout_(timeout) {}
+  socket_stream(int socket, milliseconds timeout, byte_count max_header_bytes)
+      : socket_(socket),
+        timeout_(timeout),
+        max_header_bytes_(max_header_bytes) {}
 
   bool WaitReadable(milliseconds timeout) const {
     if (begin_ < end_)
@@ -89,7 +91,7 @@
     const size_t n = std::min(size, end_ - begin_);
     if (header_bytes_ != kNotCounting) {
       header_bytes_ += n;
-      if (header_bytes_ > limits::kMaxHeaderBytes) {
+      if (header_bytes_ > max_header_bytes_.value) {
         current_call->close_after = true;
         return -1;
       }
@@ -121,6 +123,7 @@
 
   int socket_;
   milliseconds timeout_;
+  byte_count max_header_bytes_;
   std::array<char, 8192> buffer_{};
   size_t begin_ = 0;
   size_t end_ = 0;
@@ -138,7 +141,7 @@
 // Checks the headers that decide where a request ends. A request that two
 // parties could read differently must not be forwarded.
 void CheckFraming(const httplib::Request& request,
-                  byte_count max_body,
+                  const http_listener_options& options,
                   call_context& call) {
   const std::size_t lengths = request.get_header_value_count("Content-Length");
   const std::size_t encodings =
@@ -163,13 +166,14 @@
                     [](unsigned char c) { return std::isdigit(c) != 0; });
     if (!digits)
       return Refuse(call, 400, "Content-Length is not a number");
-    if (std::stoull(value) > max_body.value) {
+    if (std::stoull(value) > options.max_body.value) {
       return Refuse(call, 413,
-                    "the body exceeds " + std::to_string(max_body.value) +
+                    "the body exceeds " +
+                        std::to_string(options.max_body.value) +
                         " bytes; send less");
     }
   }
-  if (request.headers.size() > limits::kMaxHeaders)
+  if (request.headers.size() > options.max_headers)
     return Refuse(call, 431, "too many headers; send fewer");
 }
 
@@ -352,13 +356,13 @@
     current_call = &call;
     bool connection_closed = false;
     stream.BeginHeaders();
-    const bool ok = process_request(
-        stream, closing_, connection_closed, [&](httplib::Request& request) {
-          stream.EndHeaders();
-          CheckFraming(request, options_.max_body, call);
-          SettleBody(request, stream, call);
-          TakeHeaders(request, call);
-        });
+    const bool ok = process_request(stream, closing_, connection_closed,
+                                    [&](httplib::Request& request) {
+                                      stream.EndHeaders();
+                                      CheckFraming(request, options_, call);
+                                      SettleBody(request, stream, call);
+                                      TakeHeaders(request, call);
+                                    });
     current_call = nullptr;
     return ok && !connection_closed && !call.close_after && !closing_;
   }
@@ -376,7 +380,8 @@
   bool process_and_close_socket(socket_t socket) override {
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    socket_stream stream(socket, options_.read_timeout);
+    socket_stream stream(socket, options_.read_timeout,
+                         options_.max_header_bytes);
     const std::uint64_t number = next_connection_.fetch_add(1);
     while (WaitForRequest(stream) && ServeOne(stream, socket, number)) {
     }
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -20,6 +20,12 @@
 inline constexpr milliseconds kDefaultRequestTimeout{10'000};
 inline constexpr milliseconds kMaxRequestTimeout{300'000};
 
+// Between entry hosts. A forwarded request carries these on top of a caller's
+// headers: the envelope, the proof, and those that the client library adds.
+inline constexpr std::size_t kForwardHeaders = 8;
+inline constexpr std::size_t kForwardHeaderBytes = 8 << 10;
+inline constexpr std::size_t kForwardThreads = 256;
+
 // Backend server side.
 inline constexpr std::size_t kMaxAnswerBytes = 4 << 20;
 inline constexpr milliseconds kConnectTimeout{500};
--- a/packages/metrics/include/dotterellead/metrics.h
+++ b/packages/metrics/include/dotterellead/metrics.h
@@ -24,6 +24,8 @@
   kRetries,
   // By event: strike, quarantined, cleared, refused.
   kStrikes,
+  // Requests that this host forwarded to a home, by outcome.
+  kForwards,
 };
 
 // A tenant, or a class of requests if pool and route are set.
@@ -71,6 +73,7 @@
                 microseconds total,
                 microseconds added) override;
   void Refused(const tenant_id& tenant, std::string_view reason) override;
+  void Forwarded(std::string_view outcome) override;
   void Count(counter_family family,
              std::string_view label,
              std::uint64_t amount = 1);
--- a/packages/metrics/src/exposition.cc
+++ b/packages/metrics/src/exposition.cc
@@ -123,6 +123,8 @@
      "Retries asked for, by decision."},
     {"dotterellead_strikes_total", "event",
      "Events of requests that crash backend servers."},
+    {"dotterellead_forwards_total", "outcome",
+     "Requests forwarded to another entry host, by outcome."},
     {"dotterellead_refusals_total", "reason",
      "Answers that the entry host made itself, by reason."},
 }};
--- a/packages/metrics/src/metric_totals.h
+++ b/packages/metrics/src/metric_totals.h
@@ -21,8 +21,8 @@
 };
 
 // Refusals are a family of their own, with the tenant as a second label.
-inline constexpr int kRefusalFamily = 5;
-inline constexpr int kFamilies = 6;
+inline constexpr int kRefusalFamily = 6;
+inline constexpr int kFamilies = 7;
 
 struct counter_key {
   int family = 0;
--- a/packages/metrics/src/metrics.cc
+++ b/packages/metrics/src/metrics.cc
@@ -258,6 +258,10 @@
   impl_->Count({kRefusalFamily, tenant.value(), reason}, 1);
 }
 
+void request_metrics::Forwarded(std::string_view outcome) {
+  Count(counter_family::kForwards, outcome);
+}
+
 void request_metrics::Count(counter_family family,
                             std::string_view label,
                             std::uint64_t amount) {
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -22,9 +22,14 @@
 class slot_source {
  public:
   virtual ~slot_source() = default;
-  // Waits for a slot, until the deadline in `wanted` at most.
-  virtual std::variant<assigned, refused> Acquire(const acquire& wanted) = 0;
+  // Waits for a slot, until the deadline in `wanted` at most. Pair each
+  // `assigned` with one Release(), and each `forwarded` with one EndForward().
+  virtual std::variant<assigned, forwarded, refused> Acquire(
+      const acquire& wanted) = 0;
   virtual void Release(const release& result) = 0;
+  virtual void EndForward(const forward_ended& ended) = 0;
+  // The load of the pool's servers whose home is this host.
+  virtual home_load LoadOf(const pool_id& pool) = 0;
 };
 
 // A whole answer that an earlier run of the same key produced, or what is known
@@ -137,6 +142,28 @@
                        const http_peer& caller) = 0;
 };
 
+// An attempt at a home. Its failures are those of the connection to the home.
+struct home_attempt {
+  attempt sent;
+  // Where the home takes forwarded requests. Invalid if it is not known; then
+  // nothing was sent.
+  server_id address;
+};
+
+// Sends requests to the homes of servers, which are other entry hosts.
+class home_transport {
+ public:
+  virtual ~home_transport() = default;
+  virtual home_attempt Send(const member_id& home,
+                            http_request request,
+                            const attempt_limits& limits,
+                            const http_peer& caller) = 0;
+};
+
+// Carries the proof that a forwarded request comes from an entry host. Callers'
+// headers of this name are removed.
+inline constexpr char kForwardProofHeader[] = "dotterellead-proof";
+
 // Counts what happens to requests. Called on the caller listener's threads.
 class request_observer {
  public:
@@ -148,6 +175,8 @@
                         microseconds total,
                         microseconds added) = 0;
   virtual void Refused(const tenant_id& tenant, std::string_view reason) = 0;
+  // A request that this host forwarded has ended: "answered", or why not.
+  virtual void Forwarded(std::string_view outcome) = 0;
 };
 
 // ---- The flow
@@ -159,6 +188,7 @@
   admission_gate& admission;
   version_chooser& versions;
   backend_transport& backends;
+  home_transport& homes;
   request_observer& observer;
   const clock_source& clock;
   std::function<config_snapshot()> config;
@@ -179,6 +209,12 @@
   ~request_flow();
 
   http_answer Handle(const http_request& request, const http_peer& caller);
+  // Serves a request that another entry host forwarded to this one as a home:
+  // sends it once at most, on a slot of this home, and tells the other host how
+  // that ended. Claims, retries, strikes, evidence for moves and the caller's
+  // metrics are up to the other host.
+  http_answer HandleForwarded(const http_request& request,
+                              const http_peer& caller);
 
  private:
   class impl;
--- /dev/null
+++ b/packages/proxy/src/attempt_outcome.cc
@@ -0,0 +1,93 @@
+#include "attempt_outcome.h"
+
+namespace dotterellead {
+namespace {
+
+bool SaysNotRun(const http_answer& answer) {
+  const std::string* run = FindHeader(answer.headers, "request-run");
+  return answer.status == 503 && run != nullptr && *run == "not-run";
+}
+
+}  // namespace
+
+attempt_result ResultOf(const attempt& sent) {
+  if (sent.not_sent)
+    return attempt_result::kNotSent;
+  switch (sent.result.failure) {
+    case send_failure::kNone:
+      return SaysNotRun(sent.result.answer) ? attempt_result::kShed
+                                            : attempt_result::kAnswered;
+    case send_failure::kConnect:
+      return attempt_result::kConnectFailed;
+    case send_failure::kTimeout:
+      return attempt_result::kTimedOut;
+    case send_failure::kCancelled:
+      return attempt_result::kCancelled;
+    case send_failure::kCut:
+    case send_failure::kBadAnswer:
+      return attempt_result::kCut;
+  }
+  return attempt_result::kCut;
+}
+
+run_state RunOf(attempt_result result) {
+  switch (result) {
+    case attempt_result::kAnswered:
+      return run_state::kDone;
+    case attempt_result::kShed:
+    case attempt_result::kConnectFailed:
+    case attempt_result::kNotSent:
+      return run_state::kNotRun;
+    case attempt_result::kCut:
+    case attempt_result::kTimedOut:
+    case attempt_result::kCancelled:
+      return run_state::kUnknown;
+  }
+  return run_state::kUnknown;
+}
+
+std::string_view ReasonOf(attempt_result result) {
+  switch (result) {
+    case attempt_result::kShed:
+      return kShedReason;
+    case attempt_result::kConnectFailed:
+      return "backend-connect";
+    case attempt_result::kNotSent:
+      return "lease-expired";
+    case attempt_result::kTimedOut:
+      return kTimeoutReason;
+    case attempt_result::kCancelled:
+      return kCancelledReason;
+    default:
+      return "backend-cut";
+  }
+}
+
+bool IsFailure(const http_answer& answer) {
+  return answer.status >= 500 && !SaysNotRun(answer);
+}
+
+release MakeRelease(request_id request,
+                    const assigned& slot,
+                    const attempt& sent,
+                    time_point deadline) {
+  release r{.request = request,
+            .result = ResultOf(sent),
+            .latency = sent.latency,
+            .found_closed = sent.found_closed,
+            .server = slot.server,
+            .busy_until = deadline + limits::kLeaseMargin};
+  if (sent.not_sent || !sent.result.ok())
+    return r;
+  const http_headers& headers = sent.result.answer.headers;
+  r.failed = IsFailure(sent.result.answer);
+  if (const std::string* state = FindHeader(headers, "server-state"))
+    r.cold = *state == "cold";
+  if (const std::string* draining = FindHeader(headers, "server-draining"))
+    r.draining = *draining == "1";
+  if (const std::string* boot = FindHeader(headers, "server-boot"))
+    r.boot = *boot;
+  return r;
+}
+
+}  // namespace dotterellead
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -2,7 +2,9 @@
 #include <atomic>
 #include <charconv>
 
+#include "attempt_outcome.h"
 #include "dotterellead/proxy.h"
+#include "forward_codec.h"
 
 namespace dotterellead {
 namespace {
@@ -28,81 +30,32 @@
   microseconds at_backends{0};
 };
 
-// What an attempt means for the request.
-enum class verdict { kAnswered, kNotRun, kMayHaveRun };
+constexpr std::string_view kHomeTimeoutReason = "home-timeout";
+
+bool IsTimeout(std::string_view reason) {
+  return reason == kTimeoutReason || reason == kHomeTimeoutReason ||
+         reason == to_string(refusal_reason::kDeadline);
+}
 
+// What an attempt means for the request.
 struct attempt_report {
-  verdict outcome = verdict::kNotRun;
+  run_state run = run_state::kNotRun;
   http_answer answer;
-  std::string_view reason;
+  std::string reason;
   // The attempt must not be followed by another.
   bool final = false;
+  // The next attempt does not count as a retry.
+  bool retry_is_free = false;
 };
 
-bool SaysNotRun(const http_answer& answer) {
-  const std::string* run = FindHeader(answer.headers, "request-run");
-  return answer.status == 503 && run != nullptr && *run == "not-run";
-}
-
-attempt_result ResultOf(const attempt& sent) {
-  if (sent.not_sent)
-    return attempt_result::kNotSent;
-  switch (sent.result.failure) {
-    case send_failure::kNone:
-      return SaysNotRun(sent.result.answer) ? attempt_result::kShed
-                                            : attempt_result::kAnswered;
-    case send_failure::kConnect:
-      return attempt_result::kConnectFailed;
-    case send_failure::kTimeout:
-      return attempt_result::kTimedOut;
-    case send_failure::kCancelled:
-      return attempt_result::kCancelled;
-    case send_failure::kCut:
-    case send_failure::kBadAnswer:
-      return attempt_result::kCut;
-  }
-  return attempt_result::kCut;
-}
-
-verdict VerdictOf(attempt_result result) {
-  switch (result) {
-    case attempt_result::kAnswered:
-      return verdict::kAnswered;
-    case attempt_result::kShed:
-    case attempt_result::kConnectFailed:
-    case attempt_result::kNotSent:
-      return verdict::kNotRun;
-    case attempt_result::kCut:
-    case attempt_result::kTimedOut:
-    case attempt_result::kCancelled:
-      return verdict::kMayHaveRun;
-  }
-  return verdict::kMayHaveRun;
-}
-
-release MakeRelease(const call& c,
-                    const assigned& slot,
-                    const attempt& sent,
-                    time_point deadline) {
-  release r{.request = c.id,
-            .result = ResultOf(sent),
-            .latency = sent.latency,
-            .found_closed = sent.found_closed,
-            .server = slot.server,
-            .busy_until = deadline + limits::kLeaseMargin};
-  if (sent.not_sent || !sent.result.ok())
-    return r;
-  const http_headers& headers = sent.result.answer.headers;
-  r.failed =
-      sent.result.answer.status >= 500 && !SaysNotRun(sent.result.answer);
-  if (const std::string* state = FindHeader(headers, "server-state"))
-    r.cold = *state == "cold";
-  if (const std::string* draining = FindHeader(headers, "server-draining"))
-    r.draining = *draining == "1";
-  if (const std::string* boot = FindHeader(headers, "server-boot"))
-    r.boot = *boot;
-  return r;
-}
+// What came back from a home, or instead of its answer.
+struct forward_result {
+  forward_answer ended;
+  // The home gave its load.
+  bool has_load = false;
+  // How it is counted.
+  std::string_view outcome;
+};
 
 bool IsFromBackend(const http_answer& answer) {
   return FindHeader(answer.headers, "dotterellead-run") == nullptr;
@@ -116,21 +69,61 @@
   return request_fingerprint(StableHash(text) >> 1);
 }
 
-std::string_view ReasonOf(attempt_result result) {
-  switch (result) {
-    case attempt_result::kShed:
-      return "backend-shed";
-    case attempt_result::kConnectFailed:
-      return "backend-connect";
+// How a forwarded request ended for which the home gave no whole answer.
+forward_result WithoutAnswer(const home_attempt& at_home) {
+  switch (ResultOf(at_home.sent)) {
     case attempt_result::kNotSent:
-      return "lease-expired";
+      return {{.run = run_state::kNotRun, .reason = "home-unknown"},
+              false,
+              "not-sent"};
+    case attempt_result::kConnectFailed:
+      return {{.run = run_state::kNotRun, .reason = "home-connect"},
+              false,
+              "connect-failed"};
     case attempt_result::kTimedOut:
-      return "backend-timeout";
+      return {{.reason = std::string(kHomeTimeoutReason)}, false, "timed-out"};
     case attempt_result::kCancelled:
-      return "cancelled";
+      return {{.reason = std::string(kCancelledReason)}, false, "cancelled"};
     default:
-      return "backend-cut";
+      return {{.reason = "home-cut"}, false, "cut"};
+  }
+}
+
+// Only a home's listener answers without an envelope that nothing ran, and only
+// before it has passed the request on.
+forward_result WithoutEnvelope(const http_headers& headers) {
+  const std::string* run = FindHeader(headers, "dotterellead-run");
+  if (!HasForwardEnvelope(headers) && run != nullptr && *run == "not-run") {
+    return {{.run = run_state::kNotRun, .reason = "home-refused"},
+            false,
+            "refused-by-listener"};
   }
+  return {{.reason = "home-answer"}, false, "bad-envelope"};
+}
+
+forward_result ResultAtHome(const home_attempt& at_home) {
+  if (at_home.sent.not_sent || !at_home.sent.result.ok())
+    return WithoutAnswer(at_home);
+  const http_headers& headers = at_home.sent.result.answer.headers;
+  std::optional<forward_answer> ended = DecodeForwardAnswer(headers);
+  if (!ended)
+    return WithoutEnvelope(headers);
+  const std::string_view outcome = ended->run == run_state::kDone ? "answered"
+                                   : ended->run == run_state::kNotRun
+                                       ? "not-run"
+                                       : "unknown";
+  return {std::move(*ended), true, outcome};
+}
+
+// The home stops waiting a little earlier than this host, so that its answer,
+// which carries its load, still arrives. A home's duties are up to 20 ms late.
+constexpr milliseconds kAnswerMargin{30};
+
+microseconds TimeLeftForHome(time_point now, time_point deadline) {
+  const auto left =
+      std::max(microseconds(0),
+               std::chrono::duration_cast<microseconds>(deadline - now));
+  return left - std::min<microseconds>(kAnswerMargin, left / 10);
 }
 
 }  // namespace
@@ -152,8 +145,32 @@
     return answer;
   }
 
+  http_answer HandleForwarded(const http_request& request,
+                              const http_peer& caller) {
+    const std::optional<forward_request> wanted =
+        DecodeForwardRequest(request.headers);
+    if (!wanted) {
+      return MakeOwnAnswer(400, run_state::kNotRun, "bad-envelope",
+                           "the forwarding header is missing or malformed",
+                           "run the same release on all entry hosts");
+    }
+    attempt_report report;
+    forward_answer ended =
+        RunForwarded(*wanted, request, caller, report.answer);
+    ended.load = parts_.slots.LoadOf(wanted->pool);
+    report.run = ended.run;
+    report.reason = ended.reason;
+    http_answer answer = ended.run == run_state::kDone
+                             ? std::move(report.answer)
+                             : FailedAnswer(report, ended.run);
+    RemoveForwardHeaders(answer.headers);
+    answer.headers.push_back(EncodeForward(ended));
+    return answer;
+  }
+
  private:
   time_point Now() const { return parts_.clock.Now().steady; }
+  request_id NextRequest() { return request_id(next_request_.fetch_add(1)); }
 
   // Finds pool, route, deadline and key. Returns the refusal if one of them is
   // missing or wrong.
@@ -220,12 +237,15 @@
     bool may_have_run = false;
     attempt_report last;
     for (std::size_t n = 0; n < kMaxAttempts; ++n) {
-      last = TryOnce(c);
-      if (last.outcome == verdict::kAnswered)
+      // The last attempt waits for a slot here, so that homes which cannot lend
+      // for a while, as after an epoch change, do not use up all attempts.
+      last = TryOnce(c, n + 1 < kMaxAttempts ? acquire_kind::kForwardable
+                                             : acquire_kind::kDirect);
+      if (last.run == run_state::kDone)
         return std::move(last.answer);
-      may_have_run = may_have_run || last.outcome == verdict::kMayHaveRun;
+      may_have_run = may_have_run || last.run == run_state::kUnknown;
       if (last.final || Now() >= c.deadline || c.caller.IsGone() ||
-          !parts_.admission.TakeRetry(c.match.pool)) {
+          !(last.retry_is_free || parts_.admission.TakeRetry(c.match.pool))) {
         break;
       }
     }
@@ -255,12 +275,12 @@
   http_answer RunClaimWon(call& c) {
     attempt_report last;
     for (std::size_t n = 0; n < kMaxAttempts; ++n) {
-      last = TryOnce(c);
-      if (last.outcome == verdict::kAnswered) {
+      last = TryOnce(c, acquire_kind::kDirect);
+      if (last.run == run_state::kDone) {
         parts_.claims.Finish(c.key, last.answer, run_state::kDone);
         return std::move(last.answer);
       }
-      if (last.outcome == verdict::kMayHaveRun) {
+      if (last.run == run_state::kUnknown) {
         http_answer answer = FailedAnswer(last, run_state::kUnknown);
         parts_.claims.Finish(c.key, answer, run_state::kUnknown);
         return answer;
@@ -274,53 +294,187 @@
     return FailedAnswer(last, run_state::kNotRun);
   }
 
-  attempt_report TryOnce(call& c) {
-    c.id = request_id(next_request_.fetch_add(1));
+  attempt_report TryOnce(call& c, acquire_kind kind) {
+    c.id = NextRequest();
     const version_id version =
         parts_.versions.Choose(c.match.pool, c.match.route, c.id);
-    const auto slot = parts_.slots.Acquire({.request = c.id,
-                                            .pool = c.match.pool,
-                                            .tenant = c.tenant,
-                                            .version = version,
-                                            .excluded = c.tried,
-                                            .deadline = c.deadline});
-    if (const auto* no = std::get_if<refused>(&slot)) {
-      return {.reason = to_string(no->reason), .final = true};
-    }
-    return SendOn(c, std::get<assigned>(slot));
+    const auto where = parts_.slots.Acquire({.request = c.id,
+                                             .pool = c.match.pool,
+                                             .tenant = c.tenant,
+                                             .version = version,
+                                             .excluded = c.tried,
+                                             .deadline = c.deadline,
+                                             .kind = kind});
+    return std::visit(
+        overloaded{
+            [&](const assigned& slot) { return SendOn(c, slot); },
+            [&](const forwarded& to) { return Forward(c, to.home, version); },
+            [&](const refused& no) {
+              return attempt_report{.reason = std::string(to_string(no.reason)),
+                                    .final = true};
+            }},
+        where);
   }
 
-  attempt_report SendOn(call& c, const assigned& slot) {
-    c.tried.push_back(slot.server);
-    const time_point deadline = std::min(c.deadline, Now() + slot.max_run);
+  // One attempt on a slot, and what became of it.
+  struct slot_attempt {
+    attempt sent;
+    release result;
+  };
+
+  slot_attempt SendAndRelease(request_id id,
+                              const assigned& slot,
+                              const http_request& request,
+                              bool idempotent,
+                              time_point request_deadline,
+                              const http_peer& caller) {
+    const time_point deadline =
+        std::min(request_deadline, Now() + slot.max_run);
     const attempt_limits limits{.send_before = slot.send_before,
                                 .deadline = deadline,
-                                .needs_fresh = !c.match.idempotent,
-                                .cancel_with_caller = c.match.idempotent};
-    const attempt sent = parts_.backends.Send(
-        slot.server, Outgoing(c, deadline), limits, c.caller);
-    const release result = MakeRelease(c, slot, sent, deadline);
-    parts_.slots.Release(result);
-    c.at_backends += sent.latency;
-    attempt_report report{.outcome = VerdictOf(result.result),
-                          .answer = sent.result.answer,
-                          .reason = ReasonOf(result.result)};
-    if (report.outcome != verdict::kNotRun &&
-        result.result != attempt_result::kCancelled) {
-      parts_.versions.Record(
-          c.match.pool, c.match.route, slot.version,
-          result.failed || report.outcome == verdict::kMayHaveRun,
-          sent.latency);
-    }
-    if (sent.refuses_connections)
+                                .needs_fresh = !idempotent,
+                                .cancel_with_caller = idempotent};
+    slot_attempt done;
+    done.sent = parts_.backends.Send(slot.server, Outgoing(request, deadline),
+                                     limits, caller);
+    done.result = MakeRelease(id, slot, done.sent, deadline);
+    parts_.slots.Release(done.result);
+    RemoveHopByHopHeaders(done.sent.result.answer.headers);
+    RemoveForwardHeaders(done.sent.result.answer.headers);
+    return done;
+  }
+
+  attempt_report SendOn(call& c, const assigned& slot) {
+    c.tried.push_back(slot.server);
+    slot_attempt done = SendAndRelease(
+        c.id, slot, c.request, c.match.idempotent, c.deadline, c.caller);
+    c.at_backends += done.sent.latency;
+    attempt_report report{.run = RunOf(done.result.result),
+                          .answer = std::move(done.sent.result.answer),
+                          .reason = std::string(ReasonOf(done.result.result))};
+    RecordVersion(c, report, slot.version, done.sent.latency);
+    if (done.sent.refuses_connections)
       report.final = !parts_.admission.RecordCrash(c.fingerprint, slot.server);
-    RemoveHopByHopHeaders(report.answer.headers);
     return report;
   }
 
-  http_request Outgoing(const call& c, time_point deadline) const {
-    http_request out = c.request;
+  void RecordVersion(const call& c,
+                     const attempt_report& report,
+                     const version_id& version,
+                     microseconds latency) {
+    if (report.run == run_state::kNotRun || report.reason == kCancelledReason)
+      return;
+    parts_.versions.Record(
+        c.match.pool, c.match.route, version,
+        report.run == run_state::kUnknown || IsFailure(report.answer), latency);
+  }
+
+  // ---- Forwarding, at the host that the caller used
+
+  attempt_report Forward(call& c,
+                         const member_id& home,
+                         const version_id& version) {
+    http_request out = Outgoing(c.request, c.deadline);
+    out.headers.push_back(
+        EncodeForward({.pool = c.match.pool,
+                       .tenant = c.tenant,
+                       .version = version,
+                       .excluded = c.tried,
+                       .left = TimeLeftForHome(Now(), c.deadline)}));
+    home_attempt at_home = parts_.homes.Send(home, std::move(out),
+                                             {.send_before = c.deadline,
+                                              .deadline = c.deadline,
+                                              .cancel_with_caller = true},
+                                             c.caller);
+    const forward_result result = ResultAtHome(at_home);
+    parts_.slots.EndForward({.request = c.id,
+                             .pool = c.match.pool,
+                             .home = home,
+                             .load = result.has_load
+                                         ? std::optional(result.ended.load)
+                                         : std::nullopt});
+    parts_.observer.Forwarded(result.outcome);
+    return ReportForward(c, result, at_home);
+  }
+
+  attempt_report ReportForward(call& c,
+                               const forward_result& result,
+                               home_attempt& at_home) {
+    const forward_answer& ended = result.ended;
+    attempt_report report{.run = ended.run, .reason = ended.reason};
+    // A server that sheds has seen the request; anything else that did not run
+    // has cost no server anything.
+    report.retry_is_free =
+        ended.run == run_state::kNotRun && ended.reason != kShedReason;
+    if (ended.run == run_state::kDone) {
+      report.answer = std::move(at_home.sent.result.answer);
+      RemoveHopByHopHeaders(report.answer.headers);
+      RemoveForwardHeaders(report.answer.headers);
+    }
+    if (ended.server.is_valid()) {
+      c.tried.push_back(ended.server);
+      c.at_backends += ended.at_backend;
+      RecordVersion(c, report, ended.version, ended.at_backend);
+    }
+    if (ended.refuses_connections)
+      report.final = !parts_.admission.RecordCrash(c.fingerprint, ended.server);
+    else if (at_home.sent.refuses_connections)
+      report.final =
+          !parts_.admission.RecordCrash(c.fingerprint, at_home.address);
+    return report;
+  }
+
+  // ---- Forwarding, at the home
+
+  forward_answer RunForwarded(const forward_request& wanted,
+                              const http_request& request,
+                              const http_peer& caller,
+                              http_answer& answer) {
+    const request_id id = NextRequest();
+    const time_point deadline = Now() + wanted.left;
+    const auto where = parts_.slots.Acquire({.request = id,
+                                             .pool = wanted.pool,
+                                             .tenant = wanted.tenant,
+                                             .version = wanted.version,
+                                             .excluded = wanted.excluded,
+                                             .deadline = deadline,
+                                             .kind = acquire_kind::kForwarded});
+    const auto* slot = std::get_if<assigned>(&where);
+    if (slot == nullptr) {
+      const auto* no = std::get_if<refused>(&where);
+      const refusal_reason reason =
+          no == nullptr ? refusal_reason::kNotHome : no->reason;
+      return {.run = run_state::kNotRun,
+              .reason = std::string(to_string(reason))};
+    }
+    // A host that was paused finds requests that nobody waits for any more.
+    if (caller.IsGone()) {
+      parts_.slots.Release({.request = id,
+                            .result = attempt_result::kNotSent,
+                            .server = slot->server});
+      return {.run = run_state::kNotRun,
+              .reason = std::string(kCancelledReason)};
+    }
+    slot_attempt done =
+        SendAndRelease(id, *slot, request, true, deadline, caller);
+    const run_state run = RunOf(done.result.result);
+    answer = std::move(done.sent.result.answer);
+    return {.run = run,
+            .reason = run == run_state::kDone
+                          ? std::string()
+                          : std::string(ReasonOf(done.result.result)),
+            .server = slot->server,
+            .version = slot->version,
+            .at_backend = done.sent.latency,
+            .refuses_connections = done.sent.refuses_connections};
+  }
+
+  // The request as it goes on: without the headers that end here.
+  http_request Outgoing(const http_request& request,
+                        time_point deadline) const {
+    http_request out = request;
     RemoveHopByHopHeaders(out.headers);
+    RemoveForwardHeaders(out.headers);
     std::erase_if(out.headers, [](const http_header& header) {
       return FindHeader({header}, kTimeoutHeader) != nullptr ||
              FindHeader({header}, "expect") != nullptr;
@@ -341,10 +495,9 @@
   }
 
   http_answer FailedAnswer(const attempt_report& last, run_state run) const {
-    const int status =
-        last.reason == "backend-timeout" || last.reason == "deadline" ? 504
-        : run == run_state::kNotRun                                   ? 503
-                                                                      : 502;
+    const int status = IsTimeout(last.reason)      ? 504
+                       : run == run_state::kNotRun ? 503
+                                                   : 502;
     const char* remedy =
         run == run_state::kNotRun
             ? "it did not run; send it again later"
@@ -387,4 +540,9 @@
   return impl_->Handle(request, caller);
 }
 
+http_answer request_flow::HandleForwarded(const http_request& request,
+                                          const http_peer& caller) {
+  return impl_->HandleForwarded(request, caller);
+}
+
 }  // namespace dotterellead
--- a/tests/golden/session_world.cc
+++ b/tests/golden/session_world.cc
@@ -54,7 +54,8 @@
     for (const char* server : {"127.0.0.1:1", "127.0.0.1:2"})
       Step(load_report{.server = server_id(server)});
   }
-  std::variant<assigned, refused> Acquire(const acquire& wanted) override {
+  std::variant<assigned, forwarded, refused> Acquire(
+      const acquire& wanted) override {
     auto effects = Step(wanted);
     while (true) {
       for (const auto& e : effects) {
@@ -71,6 +72,8 @@
     world_.Write(fmt::format("  slot released after {}", to_string(r.result)));
     Step(r);
   }
+  void EndForward(const forward_ended&) override {}
+  home_load LoadOf(const pool_id&) override { return {}; }
 
  private:
   assigned Note(const assigned& a) {
@@ -310,6 +313,18 @@
                 microseconds,
                 microseconds) override {}
   void Refused(const tenant_id&, std::string_view) override {}
+  void Forwarded(std::string_view) override {}
+};
+
+// A single host forwards nothing.
+class session_world::no_homes : public home_transport {
+ public:
+  home_attempt Send(const member_id&,
+                    http_request,
+                    const attempt_limits&,
+                    const http_peer&) override {
+    return {.sent = {.result = {}, .not_sent = true}, .address = {}};
+  }
 };
 
 class session_world::present_caller : public http_peer {
@@ -326,11 +341,12 @@
       admission_(std::make_unique<open_admission>()),
       versions_(std::make_unique<any_version>()),
       backends_(std::make_unique<fake_backends>(*this, *clock_)),
+      homes_(std::make_unique<no_homes>()),
       observer_(std::make_unique<no_observer>()) {
   config_snapshot config = MakeConfig();
   flow_ = std::make_unique<request_flow>(
       flow_parts{*slots_, *claims_, *admission_, *versions_, *backends_,
-                 *observer_, *clock_, [config] { return config; }});
+                 *homes_, *observer_, *clock_, [config] { return config; }});
 }
 
 session_world::~session_world() = default;
--- a/tests/golden/session_world.h
+++ b/tests/golden/session_world.h
@@ -45,6 +45,7 @@
   class open_admission;
   class any_version;
   class fake_backends;
+  class no_homes;
   class no_observer;
   class present_caller;
 
@@ -57,6 +58,7 @@
   std::unique_ptr<open_admission> admission_;
   std::unique_ptr<any_version> versions_;
   std::unique_ptr<fake_backends> backends_;
+  std::unique_ptr<no_homes> homes_;
   std::unique_ptr<no_observer> observer_;
   std::unique_ptr<request_flow> flow_;
 };
--- a/tests/harness/harness.cc
+++ b/tests/harness/harness.cc
@@ -95,6 +95,11 @@
                      group, port);
 }
 
+// The port after a host's peer port takes forwarded requests.
+std::string cluster::PeerAddress(int i) const {
+  return Address(kPeerGroup, kFirstPort + 2 * i);
+}
+
 socket_address cluster::caller_address(std::size_t i) const {
   return ParseSocketAddress(
       Address(kCallerGroup, kFirstPort + static_cast<int>(i)));
@@ -186,7 +191,7 @@
 std::unique_ptr<child_process> cluster::StartEntryHost(std::size_t i) {
   std::string peers;
   for (int p = 0; p < options_.entry_hosts; ++p)
-    peers += (p == 0 ? "" : ",") + Address(kPeerGroup, kFirstPort + p);
+    peers += (p == 0 ? "" : ",") + PeerAddress(p);
   std::vector<std::string> command = {
       DOTTERELLEAD_BINARY,
       "--name",
@@ -198,7 +203,7 @@
       "--operator-address",
       operator_address(i).ToString(),
       "--peer-address",
-      Address(kPeerGroup, kFirstPort + static_cast<int>(i)),
+      PeerAddress(static_cast<int>(i)),
       "--peers",
       peers,
       "--log-address",
@@ -224,7 +229,7 @@
   Json::Value list(Json::arrayValue);
   for (int i = 0; i < options_.entry_hosts; ++i) {
     Json::Value host;
-    host["address"] = Address(kPeerGroup, kFirstPort + i);
+    host["address"] = PeerAddress(i);
     host["data_centre"] = options_.data_centres[static_cast<std::size_t>(i) %
                                                 options_.data_centres.size()];
     host["kind"] = "entry";
--- a/tests/harness/include/harness.h
+++ b/tests/harness/include/harness.h
@@ -165,6 +165,7 @@
   void PublishHostList() const;
   bool ServesAllPools(std::size_t i) const;
   std::string Address(int group, int port) const;
+  std::string PeerAddress(int i) const;
 
   cluster_options options_;
   int network_;
