Run the slot fault matrix under forwarding too

Cause: the matrix covered the leased policy only. A host without homes also reported its waiting requests as load. Change: every fault, network and phase runs under both policies; a host that is home of none of a pool's servers has no load; a forwarded request ends at its deadline in the fake cluster.

--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -210,16 +210,19 @@
     const pool_info* pool = servers_.FindPool(name);
     if (pool == nullptr)
       return load;
-    load.busy = holder_.Busy(name);
+    bool is_home = false;
     for (const server_id& id : pool->servers) {
       const server_state& s = *servers_.Find(id);
       if (!servers_.IsHome(s) || !s.takes_work())
         continue;
+      is_home = true;
       load.busy += home_->LentToOthers(id);
       // Slots on lease stay usable while the host may not lend.
       load.usable += home_->IsLending(id, now) ? s.usable_slots()
                                                : holder_.UsableHeld(id, now);
     }
+    if (is_home)
+      load.busy += holder_.Busy(name);
     return load;
   }
 
--- a/packages/balance/tests/balance_fault_test.cc
+++ b/packages/balance/tests/balance_fault_test.cc
@@ -120,13 +120,24 @@
 // Guards against two hosts using one slot, whatever fails and however messages
 // arrive, and against slots that are lost for good.
 TEST_CASE("slots are never exceeded and come back after every fault") {
+  struct run {
+    choice_policy_kind policy;
+    int phase_ms;
+  };
   for (const quality_row& network : Qualities()) {
     for (const fault& f : Faults()) {
-      for (const int phase_ms : {0, 310}) {
+      for (const auto& [policy, phase_ms] :
+           {run{choice_policy_kind::kLeased, 0},
+            run{choice_policy_kind::kLeased, 310},
+            run{choice_policy_kind::kForwarded, 0},
+            run{choice_policy_kind::kForwarded, 310}}) {
         CAPTURE(network.name);
         CAPTURE(f.name);
         CAPTURE(phase_ms);
+        const bool forwards = policy == choice_policy_kind::kForwarded;
+        CAPTURE(forwards);
         fake_cluster c({.rate = 65,
+                        .policy = policy,
                         .network = network.quality,
                         .seed = 7 + static_cast<std::uint64_t>(phase_ms),
                         .news_time = network.news_time});
--- a/packages/balance/tests/fake_cluster.h
+++ b/packages/balance/tests/fake_cluster.h
@@ -378,6 +378,10 @@
     while (hosts_[home].candidate.id != m.home)
       ++home;
     forwards_[m.request] = {i, home};
+    // The caller's host waits for the home no longer than the caller does.
+    After(options_.patience, [this, request = m.request] {
+      EndForward(request, std::nullopt, false);
+    });
     After(Delay(), [this, i, home, request = m.request] {
       if (!forwards_.contains(request))
         return;
