Turn forwarded requests away from homes without a free slot

Cause: a host hears of a home's load only with answers, so a request often queued at one home beside a free slot of another. Change: a home with no free slot turns a forwarded request away at once; the host then knows its load and tries another home, up to limits::kMaxFullHomes times, before the request waits.

--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -40,6 +40,11 @@
   std::vector<server_id> excluded;
   time_point deadline;
   acquire_kind kind = acquire_kind::kDirect;
+  // kForwardable: homes that had no free slot for this request (kHomeFull).
+  std::uint32_t full_homes = 0;
+  // kForwarded: wait for a slot. Otherwise kHomeFull is the answer at once if
+  // none is free.
+  bool may_wait = true;
 };
 
 // Requests and slots of a pool's servers that have one home.
@@ -363,6 +368,8 @@
 struct forwarded {
   request_id request;
   member_id home;
+  // For acquire::may_wait at the home.
+  bool may_wait = true;
 };
 
 // The load of the pool's servers whose home is this host. Emitted when it
@@ -379,6 +386,9 @@
   kUnknownPool,
   // A forwarded request came to a host that cannot lend slots for it now.
   kNotHome,
+  // A forwarded request that may not wait found no free slot. Another home may
+  // have one.
+  kHomeFull,
 };
 std::string_view to_string(refusal_reason reason);
 
--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -61,6 +61,8 @@
       return "unknown-pool";
     case refusal_reason::kNotHome:
       return "not-home";
+    case refusal_reason::kHomeFull:
+      return "home-full";
   }
   return "unknown-pool";
 }
--- a/packages/balance/src/forward_role.cc
+++ b/packages/balance/src/forward_role.cc
@@ -11,6 +11,8 @@
 // A home that cannot lend now, as right after an epoch change, is asked again
 // after this time.
 constexpr milliseconds kNotLendingTime{50};
+// Rank of homes without a free slot; those with one rank lower.
+constexpr int kFullRank = 3;
 
 }  // namespace
 
@@ -56,7 +58,7 @@
   if (e.busy >= e.usable) {
     const double per_slot =
         (e.busy + 1.0) / std::max<std::uint32_t>(e.usable, 1);
-    return {3, per_slot, spread};
+    return {kFullRank, per_slot, spread};
   }
   if (home == self)
     return {0, 0, 0};
@@ -66,9 +68,9 @@
   return {is_near ? 1 : 2, -free, spread};
 }
 
-std::optional<member_id> forward_role::Choose(const acquire& m,
-                                              const home_load& own,
-                                              time_point now) const {
+std::optional<forward_role::choice> forward_role::Choose(const acquire& m,
+                                                         const home_load& own,
+                                                         time_point now) const {
   std::optional<std::pair<rank, member_id>> best;
   for (const auto& [home, usable] : UsableSlots(m)) {
     const std::optional<estimate> e =
@@ -81,7 +83,7 @@
   }
   if (!best)
     return std::nullopt;
-  return best->second;
+  return choice{best->second, std::get<int>(best->first) < kFullRank};
 }
 
 void forward_role::Begin(const pool_id& pool, const member_id& home) {
--- a/packages/balance/src/forward_role.h
+++ b/packages/balance/src/forward_role.h
@@ -14,11 +14,17 @@
  public:
   explicit forward_role(const directory& servers) : servers_(servers) {}
 
+  struct choice {
+    member_id home;
+    // As far as known, the home has a free slot.
+    bool has_free = false;
+  };
+
   // The home with a slot for `m` soonest, this host included; `own` is this
   // host's load. Unset if no home of a suitable server can be reached.
-  std::optional<member_id> Choose(const acquire& m,
-                                  const home_load& own,
-                                  time_point now) const;
+  std::optional<choice> Choose(const acquire& m,
+                               const home_load& own,
+                               time_point now) const;
   // A request was forwarded to `home`.
   void Begin(const pool_id& pool, const member_id& home);
   void On(const forward_ended& m, time_point now);
--- a/packages/balance/src/holder_role.cc
+++ b/packages/balance/src/holder_role.cc
@@ -77,22 +77,27 @@
                                 const home_load& own,
                                 step_context& step) {
   if (m.kind == acquire_kind::kForwarded) {
-    if (own.usable > 0 && IsHomeFor(m))
+    if (own.usable == 0 || !IsHomeFor(m))
+      Refuse(m, refusal_reason::kNotHome, step);
+    else if (!m.may_wait && own.busy >= own.usable)
+      Refuse(m, refusal_reason::kHomeFull, step);
+    else
       return false;
-    Refuse(m, refusal_reason::kNotHome, step);
     return true;
   }
   if (m.kind != acquire_kind::kForwardable || !policy_->forwards())
     return false;
-  const std::optional<member_id> home = forwards_.Choose(m, own, step.now);
-  if (!home) {
+  const auto choice = forwards_.Choose(m, own, step.now);
+  if (!choice) {
     m.kind = acquire_kind::kDirect;
     return false;
   }
-  if (*home == servers_.options().self)
+  if (choice->home == servers_.options().self)
     return false;
-  forwards_.Begin(m.pool, *home);
-  step.effects.emplace_back(forwarded{m.request, *home});
+  forwards_.Begin(m.pool, choice->home);
+  const bool may_wait =
+      !choice->has_free || m.full_homes >= limits::kMaxFullHomes;
+  step.effects.emplace_back(forwarded{m.request, choice->home, may_wait});
   return true;
 }
 
--- a/packages/balance/tests/fake_cluster.h
+++ b/packages/balance/tests/fake_cluster.h
@@ -359,12 +359,17 @@
 
   // ---- Effects
 
-  void Acquire(int i, request_id request, acquire_kind kind) {
+  void Acquire(int i,
+               request_id request,
+               acquire_kind kind,
+               bool may_wait = true) {
     Step(i, acquire{.request = request,
                     .pool = pool_id("pool"),
                     .tenant = tenant_id("tenant"),
                     .deadline = HostNow(i).steady + options_.patience,
-                    .kind = kind});
+                    .kind = kind,
+                    .full_homes = full_homes_[request],
+                    .may_wait = may_wait});
   }
   microseconds Delay() {
     const network_quality& n = options_.network;
@@ -382,14 +387,14 @@
     After(options_.patience, [this, request = m.request] {
       EndForward(request, std::nullopt, false);
     });
-    After(Delay(), [this, i, home, request = m.request] {
+    After(Delay(), [this, i, home, request = m.request, may_wait = m.may_wait] {
       if (!forwards_.contains(request))
         return;
       if (!hosts_[home].machine || side_.contains(i) != side_.contains(home))
         return EndForward(request, std::nullopt, true);
-      OnHost(home, [this, home, request] {
+      OnHost(home, [this, home, request, may_wait] {
         if (forwards_.contains(request))
-          Acquire(home, request, acquire_kind::kForwarded);
+          Acquire(home, request, acquire_kind::kForwarded, may_wait);
       });
     });
   }
@@ -438,7 +443,9 @@
   }
   void Carry(int i, const refused& m) {
     const bool is_forwarded = forwards_.contains(m.request);
-    const bool again = m.reason == refusal_reason::kNotHome;
+    const bool is_full = m.reason == refusal_reason::kHomeFull;
+    const bool again = is_full || m.reason == refusal_reason::kNotHome;
+    full_homes_[m.request] += is_full ? 1 : 0;
     if (is_forwarded)
       EndForward(m.request, hosts_[i].load, again);
     if (is_forwarded && again)
@@ -557,6 +564,7 @@
   config_snapshot config_;
   std::map<request_id, time_point> called_at_;
   std::map<request_id, forward> forwards_;
+  std::map<request_id, std::uint32_t> full_homes_;
   std::vector<microseconds> waits_;
   cluster_counts counts_;
 };
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -36,6 +36,9 @@
 inline constexpr milliseconds kLeaseMargin{200};
 inline constexpr milliseconds kIdleLeaseReturn{1'000};
 inline constexpr milliseconds kDefaultMaxRun{2'000};
+// Homes that may turn a forwarded request away for want of a free slot; the
+// next one queues it. Each costs a round trip between hosts.
+inline constexpr std::uint32_t kMaxFullHomes = 2;
 
 // Membership.
 inline constexpr milliseconds kGossipInterval{250};
