--- a/packages/balance/src/forward_role.cc
+++ b/packages/balance/src/forward_role.cc
@@ -16,38 +16,37 @@
 
 }  // namespace
 
-std::map<member_id, std::uint32_t> forward_role::UsableSlots(
-    const acquire& m) const {
-  std::map<member_id, std::uint32_t> usable;
+std::map<member_id, std::uint32_t> forward_role::Slots(const acquire& m) const {
+  std::map<member_id, std::uint32_t> slots;
   for (const server_id& id : servers_.FindPool(m.pool)->servers) {
     const server_state& s = *servers_.Find(id);
     if (s.home.is_valid() && s.CanServe(m, id))
-      usable[s.home] += s.usable_slots();
+      slots[s.home] += s.spec.slots;
   }
-  return usable;
+  return slots;
 }
 
 std::optional<forward_role::estimate> forward_role::Estimate(
     const home_key& key,
-    std::uint32_t usable,
+    std::uint32_t slots,
     const home_load& own,
     time_point now) const {
   if (key.second == servers_.options().self) {
     if (own.usable == 0)
       return std::nullopt;
-    return estimate{own.busy, std::min(usable, own.usable)};
+    return estimate{own.busy, std::min(slots, own.usable)};
   }
   const auto it = homes_.find(key);
   if (it == homes_.end())
-    return estimate{0, usable};
+    return estimate{0, slots};
   const known_home& known = it->second;
   if (now < known.avoided_until)
     return std::nullopt;
   if (!known.reported_at || now - *known.reported_at >= kLoadValidity)
-    return estimate{known.unanswered, usable};
+    return estimate{known.unanswered, slots};
   return estimate{
       std::max(known.load.busy + known.sent_since, known.unanswered),
-      std::min(usable, known.load.usable)};
+      std::min(slots, known.load.usable)};
 }
 
 forward_role::rank forward_role::RankOf(const member_id& home,
@@ -72,9 +71,8 @@
                                                          const home_load& own,
                                                          time_point now) const {
   std::optional<std::pair<rank, member_id>> best;
-  for (const auto& [home, usable] : UsableSlots(m)) {
-    const std::optional<estimate> e =
-        Estimate({m.pool, home}, usable, own, now);
+  for (const auto& [home, slots] : Slots(m)) {
+    const std::optional<estimate> e = Estimate({m.pool, home}, slots, own, now);
     if (!e)
       continue;
     std::pair candidate(RankOf(home, *e), home);
--- a/packages/balance/src/forward_role.h
+++ b/packages/balance/src/forward_role.h
@@ -50,9 +50,11 @@
   // Lower is better.
   using rank = std::tuple<int, double, std::uint64_t>;
 
-  std::map<member_id, std::uint32_t> UsableSlots(const acquire& m) const;
+  // The slots of each home's servers that can serve `m`, cold or not: the
+  // homes' reports say how many of them may be used.
+  std::map<member_id, std::uint32_t> Slots(const acquire& m) const;
   std::optional<estimate> Estimate(const home_key& key,
-                                   std::uint32_t usable,
+                                   std::uint32_t slots,
                                    const home_load& own,
                                    time_point now) const;
   rank RankOf(const member_id& home, const estimate& e) const;
