Keep lending through a change of epoch

Change: the right of the earlier epoch stays usable until its own end, as the membership package already allows, for servers that keep their home in consecutive epochs. The next home of a moved server still waits for that end.

--- a/packages/balance/src/home_role.cc
+++ b/packages/balance/src/home_role.cc
@@ -31,7 +31,7 @@
 }
 
 bool home_role::MayLend(time_point now) const {
-  return now < lend_before_;
+  return now < std::max(lend_before_, carried_until_);
 }
 
 // ---- Ownership
@@ -91,7 +91,9 @@
 void home_role::OnHomes(epoch_number before, step_context& step) {
   const bool is_next = before.is_valid() && before.next() == servers_.epoch() &&
                        MayLend(step.now);
-  const time_point right_ends = std::exchange(lend_before_, time_point());
+  const time_point right_ends =
+      std::max(std::exchange(lend_before_, time_point()), carried_until_);
+  carried_until_ = is_next ? right_ends : time_point();
   earlier_homes_end_.reset();
   departing_.clear();
   wants_.clear();
--- a/packages/balance/src/home_role.h
+++ b/packages/balance/src/home_role.h
@@ -110,6 +110,9 @@
   directory& servers_;
   time_point started_;
   time_point lend_before_;
+  // End of the right that an earlier epoch gave. Servers that kept this host as
+  // their home in each epoch since are lent until then.
+  time_point carried_until_;
   std::optional<time_point> earlier_homes_end_;
   std::map<server_id, table> tables_;
   std::map<pool_id, std::deque<want>> wants_;
--- a/packages/balance/tests/balance_fault_test.cc
+++ b/packages/balance/tests/balance_fault_test.cc
@@ -233,6 +233,36 @@
   CheckInvariants(c);
 }
 
+// Guards against requests that wait, at each restart of some host, until all
+// homes have their right in the new epoch.
+TEST_CASE("a new epoch does not interrupt homes that stay the same") {
+  for (const choice_policy_kind policy :
+       {choice_policy_kind::kLeased, choice_policy_kind::kForwarded}) {
+    fake_cluster c({.mean_run = microseconds(2'000),
+                    // Slots are idle for longer than a holder keeps them.
+                    .rate = 0.4,
+                    .policy = policy,
+                    .seed = 5});
+    c.RunFor(seconds(8));
+    std::set<int> homes;
+    for (int server = 0; server < 6; ++server)
+      homes.insert(c.HomeOf(server));
+    int leaver = 0;
+    while (homes.contains(leaver))
+      ++leaver;
+    c.host(leaver).takes_calls = false;
+    c.waits().clear();
+    for (int change = 0; change < 60; ++change) {
+      c.NewEpoch(change % 2 == 0 ? c.AllBut(leaver) : c.AllHosts());
+      c.RunFor(seconds(2));
+    }
+    CHECK(c.waits().size() > 150);
+    CHECK(*std::max_element(c.waits().begin(), c.waits().end()) <
+          milliseconds(60));
+    CheckInvariants(c);
+  }
+}
+
 // Guards against a minority that goes on lending what the majority lends too.
 TEST_CASE("a home without the right lends nothing after the lease time") {
   fake_cluster c({.rate = 60});
