--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -61,6 +61,8 @@
       return "unknown-pool";
     case refusal_reason::kNotHome:
       return "not-home";
+    case refusal_reason::kHomeFull:
+      return "home-full";
   }
   return "unknown-pool";
 }
@@ -210,16 +212,19 @@
     const pool_info* pool = servers_.FindPool(name);
     if (pool == nullptr)
       return load;
-    load.busy = holder_.Busy(name);
+    bool is_home = false;
     for (const server_id& id : pool->servers) {
       const server_state& s = *servers_.Find(id);
       if (!servers_.IsHome(s) || !s.takes_work())
         continue;
+      is_home = true;
       load.busy += home_->LentToOthers(id);
       // Slots on lease stay usable while the host may not lend.
       load.usable += home_->IsLending(id, now) ? s.usable_slots()
                                                : holder_.UsableHeld(id, now);
     }
+    if (is_home)
+      load.busy += holder_.Busy(name);
     return load;
   }
 
--- a/packages/balance/src/forward_role.cc
+++ b/packages/balance/src/forward_role.cc
@@ -11,41 +11,42 @@
 // A home that cannot lend now, as right after an epoch change, is asked again
 // after this time.
 constexpr milliseconds kNotLendingTime{50};
+// Rank of homes without a free slot; those with one rank lower.
+constexpr int kFullRank = 3;
 
 }  // namespace
 
-std::map<member_id, std::uint32_t> forward_role::UsableSlots(
-    const acquire& m) const {
-  std::map<member_id, std::uint32_t> usable;
+std::map<member_id, std::uint32_t> forward_role::Slots(const acquire& m) const {
+  std::map<member_id, std::uint32_t> slots;
   for (const server_id& id : servers_.FindPool(m.pool)->servers) {
     const server_state& s = *servers_.Find(id);
     if (s.home.is_valid() && s.CanServe(m, id))
-      usable[s.home] += s.usable_slots();
+      slots[s.home] += s.spec.slots;
   }
-  return usable;
+  return slots;
 }
 
 std::optional<forward_role::estimate> forward_role::Estimate(
     const home_key& key,
-    std::uint32_t usable,
+    std::uint32_t slots,
     const home_load& own,
     time_point now) const {
   if (key.second == servers_.options().self) {
     if (own.usable == 0)
       return std::nullopt;
-    return estimate{own.busy, std::min(usable, own.usable)};
+    return estimate{own.busy, std::min(slots, own.usable)};
   }
   const auto it = homes_.find(key);
   if (it == homes_.end())
-    return estimate{0, usable};
+    return estimate{0, slots};
   const known_home& known = it->second;
   if (now < known.avoided_until)
     return std::nullopt;
   if (!known.reported_at || now - *known.reported_at >= kLoadValidity)
-    return estimate{known.unanswered, usable};
+    return estimate{known.unanswered, slots};
   return estimate{
       std::max(known.load.busy + known.sent_since, known.unanswered),
-      std::min(usable, known.load.usable)};
+      std::min(slots, known.load.usable)};
 }
 
 forward_role::rank forward_role::RankOf(const member_id& home,
@@ -56,7 +57,7 @@
   if (e.busy >= e.usable) {
     const double per_slot =
         (e.busy + 1.0) / std::max<std::uint32_t>(e.usable, 1);
-    return {3, per_slot, spread};
+    return {kFullRank, per_slot, spread};
   }
   if (home == self)
     return {0, 0, 0};
@@ -66,13 +67,12 @@
   return {is_near ? 1 : 2, -free, spread};
 }
 
-std::optional<member_id> forward_role::Choose(const acquire& m,
-                                              const home_load& own,
-                                              time_point now) const {
+std::optional<forward_role::choice> forward_role::Choose(const acquire& m,
+                                                         const home_load& own,
+                                                         time_point now) const {
   std::optional<std::pair<rank, member_id>> best;
-  for (const auto& [home, usable] : UsableSlots(m)) {
-    const std::optional<estimate> e =
-        Estimate({m.pool, home}, usable, own, now);
+  for (const auto& [home, slots] : Slots(m)) {
+    const std::optional<estimate> e = Estimate({m.pool, home}, slots, own, now);
     if (!e)
       continue;
     std::pair candidate(RankOf(home, *e), home);
@@ -81,7 +81,7 @@
   }
   if (!best)
     return std::nullopt;
-  return best->second;
+  return choice{best->second, std::get<int>(best->first) < kFullRank};
 }
 
 void forward_role::Begin(const pool_id& pool, const member_id& home) {
--- a/packages/balance/tests/balance_fault_test.cc
+++ b/packages/balance/tests/balance_fault_test.cc
@@ -120,13 +120,24 @@
 // Guards against two hosts using one slot, whatever fails and however messages
 // arrive, and against slots that are lost for good.
 TEST_CASE("slots are never exceeded and come back after every fault") {
+  struct run {
+    choice_policy_kind policy;
+    int phase_ms;
+  };
   for (const quality_row& network : Qualities()) {
     for (const fault& f : Faults()) {
-      for (const int phase_ms : {0, 310}) {
+      for (const auto& [policy, phase_ms] :
+           {run{choice_policy_kind::kLeased, 0},
+            run{choice_policy_kind::kLeased, 310},
+            run{choice_policy_kind::kForwarded, 0},
+            run{choice_policy_kind::kForwarded, 310}}) {
         CAPTURE(network.name);
         CAPTURE(f.name);
         CAPTURE(phase_ms);
+        const bool forwards = policy == choice_policy_kind::kForwarded;
+        CAPTURE(forwards);
         fake_cluster c({.rate = 65,
+                        .policy = policy,
                         .network = network.quality,
                         .seed = 7 + static_cast<std::uint64_t>(phase_ms),
                         .news_time = network.news_time});
@@ -222,6 +233,36 @@
   CheckInvariants(c);
 }
 
+// Guards against requests that wait, at each restart of some host, until all
+// homes have their right in the new epoch.
+TEST_CASE("a new epoch does not interrupt homes that stay the same") {
+  for (const choice_policy_kind policy :
+       {choice_policy_kind::kLeased, choice_policy_kind::kForwarded}) {
+    fake_cluster c({.mean_run = microseconds(2'000),
+                    // Slots are idle for longer than a holder keeps them.
+                    .rate = 0.4,
+                    .policy = policy,
+                    .seed = 5});
+    c.RunFor(seconds(8));
+    std::set<int> homes;
+    for (int server = 0; server < 6; ++server)
+      homes.insert(c.HomeOf(server));
+    int leaver = 0;
+    while (homes.contains(leaver))
+      ++leaver;
+    c.host(leaver).takes_calls = false;
+    c.waits().clear();
+    for (int change = 0; change < 60; ++change) {
+      c.NewEpoch(change % 2 == 0 ? c.AllBut(leaver) : c.AllHosts());
+      c.RunFor(seconds(2));
+    }
+    CHECK(c.waits().size() > 150);
+    CHECK(*std::max_element(c.waits().begin(), c.waits().end()) <
+          milliseconds(60));
+    CheckInvariants(c);
+  }
+}
+
 // Guards against a minority that goes on lending what the majority lends too.
 TEST_CASE("a home without the right lends nothing after the lease time") {
   fake_cluster c({.rate = 60});
--- a/packages/balance/tests/fake_cluster.h
+++ b/packages/balance/tests/fake_cluster.h
@@ -158,10 +158,13 @@
   void Call(int i) {
     const request_id request(next_request_++);
     called_at_[request] = now_;
+    const bool is_direct = options_.direct > 0 && Chance(options_.direct);
+    if (is_direct)
+      direct_.insert(request);
+    const bool may_forward =
+        options_.policy == choice_policy_kind::kForwarded && !is_direct;
     Acquire(i, request,
-            options_.policy == choice_policy_kind::kForwarded
-                ? acquire_kind::kForwardable
-                : acquire_kind::kDirect);
+            may_forward ? acquire_kind::kForwardable : acquire_kind::kDirect);
   }
   void Step(int i, const balance_machine::message& m) {
     fake_host& h = hosts_[i];
@@ -193,6 +196,7 @@
   const cluster_counts& counts() const { return counts_; }
   void ResetCounts() { counts_ = {}; }
   std::vector<microseconds>& waits() { return waits_; }
+  std::vector<microseconds>& direct_waits() { return direct_waits_; }
   static server_id ServerId(int i) {
     return server_id("10.0.0." + std::to_string(i) + ":80");
   }
@@ -359,12 +363,17 @@
 
   // ---- Effects
 
-  void Acquire(int i, request_id request, acquire_kind kind) {
+  void Acquire(int i,
+               request_id request,
+               acquire_kind kind,
+               bool may_wait = true) {
     Step(i, acquire{.request = request,
                     .pool = pool_id("pool"),
                     .tenant = tenant_id("tenant"),
                     .deadline = HostNow(i).steady + options_.patience,
-                    .kind = kind});
+                    .kind = kind,
+                    .full_homes = full_homes_[request],
+                    .may_wait = may_wait});
   }
   microseconds Delay() {
     const network_quality& n = options_.network;
@@ -378,14 +387,18 @@
     while (hosts_[home].candidate.id != m.home)
       ++home;
     forwards_[m.request] = {i, home};
-    After(Delay(), [this, i, home, request = m.request] {
+    // The caller's host waits for the home no longer than the caller does.
+    After(options_.patience, [this, request = m.request] {
+      EndForward(request, std::nullopt, false);
+    });
+    After(Delay(), [this, i, home, request = m.request, may_wait = m.may_wait] {
       if (!forwards_.contains(request))
         return;
       if (!hosts_[home].machine || side_.contains(i) != side_.contains(home))
         return EndForward(request, std::nullopt, true);
-      OnHost(home, [this, home, request] {
+      OnHost(home, [this, home, request, may_wait] {
         if (forwards_.contains(request))
-          Acquire(home, request, acquire_kind::kForwarded);
+          Acquire(home, request, acquire_kind::kForwarded, may_wait);
       });
     });
   }
@@ -434,7 +447,9 @@
   }
   void Carry(int i, const refused& m) {
     const bool is_forwarded = forwards_.contains(m.request);
-    const bool again = m.reason == refusal_reason::kNotHome;
+    const bool is_full = m.reason == refusal_reason::kHomeFull;
+    const bool again = is_full || m.reason == refusal_reason::kNotHome;
+    full_homes_[m.request] += is_full ? 1 : 0;
     if (is_forwarded)
       EndForward(m.request, hosts_[i].load, again);
     if (is_forwarded && again)
@@ -480,9 +495,12 @@
       Run(a);
   }
   void Run(const attempt& a) {
-    if (const auto called = called_at_.extract(a.slot.request))
-      waits_.push_back(
-          std::chrono::duration_cast<microseconds>(now_ - called.mapped()));
+    if (const auto called = called_at_.extract(a.slot.request)) {
+      const bool is_direct = direct_.erase(a.slot.request) > 0;
+      (is_direct ? direct_waits_ : waits_)
+          .push_back(
+              std::chrono::duration_cast<microseconds>(now_ - called.mapped()));
+    }
     std::exponential_distribution<double> run(1);
     const microseconds time(static_cast<std::int64_t>(
         run(random_) * static_cast<double>(options_.mean_run.count())));
@@ -553,7 +571,10 @@
   config_snapshot config_;
   std::map<request_id, time_point> called_at_;
   std::map<request_id, forward> forwards_;
+  std::map<request_id, std::uint32_t> full_homes_;
   std::vector<microseconds> waits_;
+  std::set<request_id> direct_;
+  std::vector<microseconds> direct_waits_;
   cluster_counts counts_;
 };
 
