Let homes turn away forwarded requests on the request path

Cause: the decision side can turn a request away from a home without a free slot, but the envelope could not say so. Change: the envelope says whether the request may wait; a home-full answer is no attempt and costs no retry.

--- a/packages/proxy/src/forward_codec.cc
+++ b/packages/proxy/src/forward_codec.cc
@@ -153,6 +153,7 @@
   Put(text, "version", Escape(m.version.value()));
   Put(text, "excluded", excluded);
   Put(text, "left_us", std::to_string(m.left.count()));
+  Put(text, "wait", m.may_wait ? "1" : "0");
   return {std::string(kEnvelopeHeader), text};
 }
 
@@ -182,7 +183,8 @@
                     .tenant = tenant_id(r.Text("tenant")),
                     .version = version_id(r.Text("version")),
                     .excluded = r.Servers("excluded"),
-                    .left = microseconds(r.Number("left_us", kMaxLeftUs))};
+                    .left = microseconds(r.Number("left_us", kMaxLeftUs)),
+                    .may_wait = r.Number("wait", 1) == 1};
   if (!r.ok || !m.pool.is_valid())
     return std::nullopt;
   return m;
--- a/packages/proxy/src/forward_codec.h
+++ b/packages/proxy/src/forward_codec.h
@@ -21,6 +21,8 @@
   std::vector<server_id> excluded;
   // Time until nobody waits for the answer any more.
   microseconds left{0};
+  // Whether the request may wait for a slot at the home.
+  bool may_wait = true;
   bool operator==(const forward_request&) const = default;
 };
 
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -26,6 +26,8 @@
   time_point received;
   time_point deadline;
   std::vector<server_id> tried;
+  // Homes that had no free slot for the request.
+  std::uint32_t full_homes = 0;
   // Time spent at backend servers, to tell what this host added.
   microseconds at_backends{0};
 };
@@ -236,11 +238,12 @@
     // if no attempt ran.
     bool may_have_run = false;
     attempt_report last;
-    for (std::size_t n = 0; n < kMaxAttempts; ++n) {
+    std::size_t attempts = 0;
+    while (attempts < kMaxAttempts) {
       // The last attempt waits for a slot here, so that homes which cannot lend
       // for a while, as after an epoch change, do not use up all attempts.
-      last = TryOnce(c, n + 1 < kMaxAttempts ? acquire_kind::kForwardable
-                                             : acquire_kind::kDirect);
+      last = TryOnce(c, attempts + 1 < kMaxAttempts ? acquire_kind::kForwardable
+                                                    : acquire_kind::kDirect);
       if (last.run == run_state::kDone)
         return std::move(last.answer);
       may_have_run = may_have_run || last.run == run_state::kUnknown;
@@ -248,6 +251,8 @@
           !(last.retry_is_free || parts_.admission.TakeRetry(c.match.pool))) {
         break;
       }
+      if (!CountFullHome(c, last))
+        ++attempts;
     }
     return FailedAnswer(
         last, may_have_run ? run_state::kUnknown : run_state::kNotRun);
@@ -271,6 +276,13 @@
     return answer;
   }
 
+  // Whether a home turned the request away for want of a free slot, which is no
+  // attempt. After enough of them the next home lets it wait.
+  static bool CountFullHome(call& c, const attempt_report& last) {
+    return last.reason == to_string(refusal_reason::kHomeFull) &&
+           c.full_homes++ < limits::kMaxFullHomes;
+  }
+
   // Tries servers until one may have run the request; then never another.
   http_answer RunClaimWon(call& c) {
     attempt_report last;
@@ -304,15 +316,16 @@
                                              .version = version,
                                              .excluded = c.tried,
                                              .deadline = c.deadline,
-                                             .kind = kind});
+                                             .kind = kind,
+                                             .full_homes = c.full_homes});
     return std::visit(
-        overloaded{
-            [&](const assigned& slot) { return SendOn(c, slot); },
-            [&](const forwarded& to) { return Forward(c, to.home, version); },
-            [&](const refused& no) {
-              return attempt_report{.reason = std::string(to_string(no.reason)),
-                                    .final = true};
-            }},
+        overloaded{[&](const assigned& slot) { return SendOn(c, slot); },
+                   [&](const forwarded& to) { return Forward(c, to, version); },
+                   [&](const refused& no) {
+                     return attempt_report{
+                         .reason = std::string(to_string(no.reason)),
+                         .final = true};
+                   }},
         where);
   }
 
@@ -372,7 +385,7 @@
   // ---- Forwarding, at the host that the caller used
 
   attempt_report Forward(call& c,
-                         const member_id& home,
+                         const forwarded& to,
                          const version_id& version) {
     http_request out = Outgoing(c.request, c.deadline);
     out.headers.push_back(
@@ -380,8 +393,9 @@
                        .tenant = c.tenant,
                        .version = version,
                        .excluded = c.tried,
-                       .left = TimeLeftForHome(Now(), c.deadline)}));
-    home_attempt at_home = parts_.homes.Send(home, std::move(out),
+                       .left = TimeLeftForHome(Now(), c.deadline),
+                       .may_wait = to.may_wait}));
+    home_attempt at_home = parts_.homes.Send(to.home, std::move(out),
                                              {.send_before = c.deadline,
                                               .deadline = c.deadline,
                                               .cancel_with_caller = true},
@@ -389,7 +403,7 @@
     const forward_result result = ResultAtHome(at_home);
     parts_.slots.EndForward({.request = c.id,
                              .pool = c.match.pool,
-                             .home = home,
+                             .home = to.home,
                              .load = result.has_load
                                          ? std::optional(result.ended.load)
                                          : std::nullopt});
@@ -438,7 +452,8 @@
                                              .version = wanted.version,
                                              .excluded = wanted.excluded,
                                              .deadline = deadline,
-                                             .kind = acquire_kind::kForwarded});
+                                             .kind = acquire_kind::kForwarded,
+                                             .may_wait = wanted.may_wait});
     const auto* slot = std::get_if<assigned>(&where);
     if (slot == nullptr) {
       const auto* no = std::get_if<refused>(&where);
