Keep a control share of the old version until a move is done

Cause: at 100% the old version got no requests, so the new one was compared with an earlier period of the old one, and an outage of both versions at that step rolled a good version back.

Change: the last step gives the new version 95% of the requests, or 75% in a pool with under 3,000 requests up to the deadline; done then gives it all. The comparison with the old version's last period is gone. The comparison over all routes also holds back a move that it finds suspect. Before the last step all requests must fit into the new version's slots.

--- a/packages/rollout/include/dotterellead/rollout.h
+++ b/packages/rollout/include/dotterellead/rollout.h
@@ -185,7 +185,7 @@
 struct rollout_settings {
   // Shortest time at a step, longer than the detection time of 5 s.
   milliseconds shortest_step{7'000};
-  // Shortest time at 100% before a move is done.
+  // Shortest time at the last step before a move is done.
   milliseconds shortest_observation{15'000};
   milliseconds evidence_interval{500};
   // A host that finds a move under way sends nothing to the new version for
--- a/packages/rollout/src/rollout_decisions.cc
+++ b/packages/rollout/src/rollout_decisions.cc
@@ -19,9 +19,6 @@
 constexpr milliseconds kRollbackRankDelay{50};
 constexpr std::int64_t kMaxRank = 6;
 constexpr std::uint32_t kAll = 1000;
-// Pools with fewer requests over a move may get a trial; above this, 5% of
-// them suffice as evidence.
-constexpr double kLittleTraffic = 3'000;
 
 milliseconds Since(const unix_millis& start, const unix_millis& end) {
   return milliseconds(end.value - start.value);
@@ -72,18 +69,6 @@
   }
 }
 
-// The old version's last period, for a step in which it gets no requests.
-template <class PairTable>
-std::map<route_id, attempt_tally> LastOldPeriod(const PairTable& totals,
-                                                std::uint32_t before_step) {
-  std::map<route_id, attempt_tally> last;
-  for (const auto& [key, pair] : totals) {
-    if (key.first < before_step && pair.second.requests > 0)
-      last[key.second] = pair.second;
-  }
-  return last;
-}
-
 // All routes of a step in one stratum. The version is chosen by the request id,
 // whatever the route, so that routes need no strata of their own; with these, a
 // request on a route that only one version has served would not count.
@@ -131,16 +116,10 @@
                                        const moment& now,
                                        bool& suspect) {
   const std::uint32_t step = move.progress.step;
-  const bool is_whole = move.progress.share_per_mille == kAll;
-  const auto last_period = LastOldPeriod(move.totals, step);
-  const auto judge = [&](pair_table table) -> std::string {
+  const auto judge = [&](const pair_table& table) -> std::string {
     std::map<route_id, std::vector<version_pair>> routes;
-    for (auto& [key, pair] : table) {
-      const auto last = last_period.find(key.second);
-      if (is_whole && key.first == step && last != last_period.end())
-        pair.second = last->second;
+    for (const auto& [key, pair] : table)
       routes[key.second].push_back(pair);
-    }
     for (const auto& [route, steps] : routes) {
       const comparison result = Compare(steps);
       suspect = suspect || result.least_chance < kSuspectChance;
@@ -149,6 +128,7 @@
     }
     // With little traffic only all routes together tell the versions apart.
     const comparison result = CompareFailures(PerStep(table));
+    suspect = suspect || result.least_chance < kSuspectChance;
     return result.fault.empty() ? "" : "all routes: " + result.fault;
   };
   pair_table recent;
@@ -165,7 +145,7 @@
   pair_table current = move.totals;
   std::erase_if(current,
                 [step](const auto& e) { return e.first.first != step; });
-  return judge(std::move(current));
+  return judge(current);
 }
 
 // A verdict takes the same number of failures at 1% as at 5%, but at 5% it
@@ -261,8 +241,10 @@
     Propose(move, kAll, move_verdict::kDone, "earned", now, out);
     return;
   }
-  const std::uint32_t next = kShareLevels[level + 1];
-  if (CapacityPerMille(move, now) >= next)
+  const std::uint32_t next = ShareOf(level + 1, expected.pool);
+  // Done follows the last level by itself, so all requests must fit before.
+  const bool is_last = level + 2 == kShareLevels.size();
+  if (CapacityPerMille(move, now) >= (is_last ? kAll : next))
     Propose(move, next, move_verdict::kMoving, "earned", now, out);
 }
 
@@ -287,7 +269,7 @@
 std::uint32_t rollout_machine::NeededTrialShare(const move_state& move,
                                                 const traffic& expected,
                                                 const moment& now) {
-  if (expected.pool <= 0 || expected.pool >= kLittleTraffic)
+  if (expected.pool <= 0 || !IsLittleTraffic(expected.pool))
     return 0;
   const milliseconds whole = Since(move.started, move.spec.deadline);
   const milliseconds left =
@@ -320,7 +302,7 @@
     const auto used = static_cast<double>(NewRequests(move.totals));
     if (has_earned)
       Propose(move, base, move_verdict::kMoving, "passed a trial", now, out);
-    else if (expected.pool >= kLittleTraffic)
+    else if (!IsLittleTraffic(expected.pool))
       Propose(move, base, move_verdict::kMoving, "enough traffic for 5%", now,
               out);
     else if (used >= UnearnedBudget(expected.pool))
--- a/packages/rollout/src/schedule.cc
+++ b/packages/rollout/src/schedule.cc
@@ -12,6 +12,7 @@
 // A late move uses up the reserve but for this part.
 constexpr double kLatestEnd = 0.97;
 
+constexpr double kLittleTraffic = 3'000;
 constexpr double kUnearnedPart = 0.05;
 constexpr double kMostNeededSuccesses = 30;
 // With hardly any traffic, 5% is less than one request.
@@ -50,14 +51,25 @@
 
 }  // namespace
 
+bool IsLittleTraffic(double requests_over_move) {
+  return requests_over_move < kLittleTraffic;
+}
+
+std::uint32_t ShareOf(std::size_t level, double requests_over_move) {
+  const bool is_last = level + 1 == kShareLevels.size();
+  return is_last && IsLittleTraffic(requests_over_move)
+             ? kLittleTrafficLastShare
+             : kShareLevels[level];
+}
+
 std::size_t LevelOf(const move_progress& progress) {
   if (IsTrial(progress))
     return kUnearnedLevel;
+  if (progress.share_per_mille >= kLittleTrafficLastShare)
+    return kShareLevels.size() - 1;
   std::size_t level = 0;
-  while (level + 1 < kShareLevels.size() &&
-         kShareLevels[level + 1] <= progress.share_per_mille) {
+  while (kShareLevels[level + 1] <= progress.share_per_mille)
     ++level;
-  }
   return level;
 }
 
--- a/packages/rollout/src/schedule.h
+++ b/packages/rollout/src/schedule.h
@@ -9,13 +9,25 @@
 
 namespace dotterellead {
 
+// The last level leaves the old version a control share until the move is done,
+// so that both versions are compared over the same period at every level. The
+// control share is the 5% at which a fault of the new version is found first.
 inline constexpr std::array<std::uint32_t, 5> kShareLevels = {10, 50, 250, 500,
-                                                              1000};
+                                                              950};
+// The last level with little traffic, where 5% are too few requests to tell a
+// fault of the new version from one of both.
+inline constexpr std::uint32_t kLittleTrafficLastShare = 750;
 // The highest level that a version gets without having earned it.
 inline constexpr std::size_t kUnearnedLevel = 1;
 // Starts the reason of a step with a larger share of little traffic.
 inline constexpr std::string_view kTrialReason = "trial";
 
+// Whether a pool has so few requests over the whole move that 5% of them do not
+// suffice as evidence.
+bool IsLittleTraffic(double requests_over_move);
+
+std::uint32_t ShareOf(std::size_t level, double requests_over_move);
+
 // The level of a step that has been recorded (share above 0).
 std::size_t LevelOf(const move_progress& progress);
 bool IsTrial(const move_progress& progress);
--- a/packages/rollout/tests/machine_test.cc
+++ b/packages/rollout/tests/machine_test.cc
@@ -164,7 +164,7 @@
 }
 
 // Guards against done for a version that has answered nothing, or that has not
-// been watched at 100%.
+// been watched at the last step.
 TEST_CASE("done needs successes and the observation time") {
   struct row {
     int good_new;
