Let duties sleep until their machine's next deadline

Cause: each of ten duties woke its machine at a fixed tick of 20 to 250 ms, with or without work. At rest an entry host spent its time on some 450 wake-ups a second of about 30 us each.

Change: a machine may declare NextDeadline; its duty then sleeps until that time or the next message. A deadline is acted on at its time, or one tick interval after the tick before it, so never later than with the fixed tick. Machines without it keep the tick. admission, config, drain, idempotency and measure declare theirs, relays need no ticks, and housekeeping becomes a machine that counts requests only while the host leaves. The fakes of the machines' tests give a tick only when the duty would.

--- a/apps/dotterellead/entry_host.cc
+++ b/apps/dotterellead/entry_host.cc
@@ -13,7 +13,8 @@
 constexpr milliseconds kConfigTick{50};
 constexpr milliseconds kRolloutTick{250};
 constexpr milliseconds kDrainTick{50};
-constexpr milliseconds kRelayTick{100};
+constexpr milliseconds kProbingTick{100};
+constexpr milliseconds kHousekeepingTick{100};
 constexpr std::size_t kOperatorThreads = 16;
 
 struct resource_storer {
@@ -137,13 +138,15 @@
       probing_("probing",
                probe_relay(),
                clock_,
-               kRelayTick,
+               kProbingTick,
                [this](probe_relay::effect& e) { DoProbe(e); }),
       housekeeping_("housekeeping",
-                    chore_relay(),
+                    chore_machine(),
                     clock_,
-                    kRelayTick,
-                    [this](chore_relay::effect& e) { DoChore(e); }),
+                    kHousekeepingTick,
+                    [this](chore_machine::effect& e) {
+                      std::visit([this](auto& chore) { DoChore(chore); }, e);
+                    }),
       flow_({slots_, ClaimGateInUse(), admission_adapter_, versions_,
              transport_, metrics_, clock_,
              [this] { return state_.Serving(); }}),
--- a/apps/dotterellead/entry_host_effects.cc
+++ b/apps/dotterellead/entry_host_effects.cc
@@ -7,9 +7,7 @@
 namespace dotterellead {
 namespace {
 
-constexpr milliseconds kHostListInterval{1'000};
 constexpr milliseconds kHostListTimeout{500};
-constexpr milliseconds kStatisticsInterval{10'000};
 
 }  // namespace
 
@@ -296,10 +294,7 @@
 }
 
 void entry_host::impl::DoProbe(probe_relay::effect& e) {
-  const auto* probe = std::get_if<send_probe>(&e);
-  if (probe == nullptr)
-    return;
-  probe_done done = prober_.Probe(*probe);
+  probe_done done = prober_.Probe(std::get<send_probe>(e));
   metrics_.Count(counter_family::kProbes,
                  done.result == probe_result::kReport ? "report" : "failed");
   DeliverSurely(measure_, std::move(done));
@@ -315,6 +310,10 @@
 
 void entry_host::impl::Carry(leaving_started&) {
   state_.leaving = true;
+  // Drain knows of the requests before its notice time ends, however long a
+  // chore in progress takes.
+  drain_.Post(requests_in_flight{state_.in_flight});
+  housekeeping_.Post(leaving_started{});
   callers_.BeginClosing();
   if (HasLog())
     membership_.Post(leaving{});
@@ -328,24 +327,19 @@
 
 // ---- Housekeeping
 
-void entry_host::impl::DoChore(chore_relay::effect& e) {
-  if (const auto* lost = std::get_if<peer_lost>(&e)) {
-    links_.Remove(lost->run.address);
-    return;
-  }
-  const moment now = clock_.Now();
+void entry_host::impl::DoChore(peer_lost& e) {
+  links_.Remove(e.run.address);
+}
+
+void entry_host::impl::DoChore(count_requests&) {
   drain_.Post(requests_in_flight{state_.in_flight});
-  if (now.steady >= next_host_list_) {
-    next_host_list_ = now.steady + kHostListInterval;
-    ReadHostList();
-  }
-  if (now.steady >= next_statistics_) {
-    next_statistics_ = now.steady + kStatisticsInterval;
-    metrics_.RollInterval(now);
-  }
 }
 
-void entry_host::impl::ReadHostList() {
+void entry_host::impl::DoChore(roll_statistics&) {
+  metrics_.RollInterval(clock_.Now());
+}
+
+void entry_host::impl::DoChore(read_host_list&) {
   if (host_list_ == nullptr)
     return;
   const time_point asked = clock_.Now().steady;
--- a/apps/dotterellead/entry_host_impl.h
+++ b/apps/dotterellead/entry_host_impl.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <optional>
 
+#include "chores.h"
 #include "dotterellead/drain.h"
 #include "dotterellead/metrics.h"
 #include "dotterellead/operate.h"
@@ -58,7 +59,6 @@
 
  private:
   using probe_relay = relay_machine<send_probe>;
-  using chore_relay = relay_machine<peer_lost>;
 
   bool HasLog() const { return settings_.log_address.has_value(); }
   claim_gate& ClaimGateInUse();
@@ -150,8 +150,10 @@
 
   // Blocking work of the probing and housekeeping duties.
   void DoProbe(probe_relay::effect& e);
-  void DoChore(chore_relay::effect& e);
-  void ReadHostList();
+  void DoChore(peer_lost& e);
+  void DoChore(count_requests& e);
+  void DoChore(read_host_list& e);
+  void DoChore(roll_statistics& e);
 
   // What follows from several duties' reports.
   void PostLiveMembers();
@@ -200,9 +202,6 @@
   // When this host became the home of each server. Used by the balance duty's
   // thread only.
   std::map<server_id, time_point> home_since_;
-  // Used by the housekeeping duty's thread only.
-  time_point next_host_list_;
-  time_point next_statistics_;
 
   std::atomic<std::uint64_t> next_peer_call_{1};
   reply_table<self_report> gossip_answers_;
@@ -217,7 +216,7 @@
   duty<measure_machine> measure_;
   duty<drain_machine> drain_;
   duty<probe_relay> probing_;
-  duty<chore_relay> housekeeping_;
+  duty<chore_machine> housekeeping_;
 
   request_flow flow_;
   http_listener callers_;
--- a/packages/admission/include/dotterellead/admission.h
+++ b/packages/admission/include/dotterellead/admission.h
@@ -287,6 +287,10 @@
                               admission_event>;
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
+  // Only struck fingerprints need ticks.
+  std::optional<time_point> NextDeadline() const {
+    return records_.empty() ? std::nullopt : std::optional(time_point());
+  }
 
   std::size_t struck_count() const { return records_.size(); }
 
--- a/packages/config/include/dotterellead/config.h
+++ b/packages/config/include/dotterellead/config.h
@@ -412,6 +412,9 @@
   explicit config_machine(std::string writer) : writer_(std::move(writer)) {}
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
+  // Writes need each tick; without any, only the next question to a peer and
+  // the next snapshot do.
+  std::optional<time_point> NextDeadline() const;
 
  private:
   // A write whose record may be in the log.
@@ -483,6 +486,10 @@
   std::string NonceOf(std::uint64_t token) const;
 
   void FetchIfBehind(step_context& c);
+  // nullopt while this host is not behind its peers.
+  std::optional<time_point> FetchDue() const;
+  // nullopt unless this host can write snapshots and is the one to do it.
+  std::optional<time_point> SnapshotDue() const;
   void AppendSnapshotIfDue(step_context& c);
   log_offset next() const { return table_.through.next(); }
 
--- a/packages/config/src/config_machine.cc
+++ b/packages/config/src/config_machine.cc
@@ -232,17 +232,34 @@
   }
   if (!behind_since_)
     behind_since_ = c.now.steady;
-  const bool log_serves = readable_ && !in_gap_;
-  if (log_serves && c.now.steady - *behind_since_ < kPeerPatience)
-    return;
-  if (fetch_sent_ && c.now.steady - *fetch_sent_ < kFetchRetry)
+  if (c.now.steady < *FetchDue())
     return;
   fetch_sent_ = c.now.steady;
   c.out.push_back(fetch_from_peer{best_peer_.address, next()});
 }
 
+std::optional<time_point> config_machine::FetchDue() const {
+  if (best_peer_.highest.next() <= next())
+    return std::nullopt;
+  time_point due = behind_since_.value_or(time_point());
+  const bool log_serves = readable_ && !in_gap_;
+  if (behind_since_ && log_serves)
+    due += kPeerPatience;
+  return fetch_sent_ ? std::max(due, *fetch_sent_ + kFetchRetry) : due;
+}
+
 // ---- Snapshots and ticks
 
+std::optional<time_point> config_machine::NextDeadline() const {
+  if (!started_ || !writes_.empty())
+    return time_point();
+  const std::optional<time_point> fetch = FetchDue();
+  const std::optional<time_point> snapshot = SnapshotDue();
+  if (!fetch || !snapshot)
+    return fetch ? fetch : snapshot;
+  return std::min(*fetch, *snapshot);
+}
+
 void config_machine::Handle(const lowest_member& lowest, step_context& c) {
   is_lowest_ = lowest.is_self;
   AppendSnapshotIfDue(c);
@@ -254,16 +271,24 @@
   AppendSnapshotIfDue(c);
 }
 
-void config_machine::AppendSnapshotIfDue(step_context& c) {
+std::optional<time_point> config_machine::SnapshotDue() const {
   const bool caught_up = has_state_ && !in_gap_ && next() >= log_end_;
   if (!is_lowest_ || !readable_ || !caught_up || retention_.count() == 0 ||
       !table_.through.is_valid())
-    return;
+    return std::nullopt;
   const milliseconds interval = retention_ / kSnapshotsPerRetention;
-  if (last_snapshot_ && c.now.steady - *last_snapshot_ < interval)
-    return;
   const milliseconds retry = std::min(interval / 4, kSnapshotRetry);
-  if (snapshot_sent_ && c.now.steady - *snapshot_sent_ < retry)
+  time_point due;
+  if (last_snapshot_)
+    due = std::max(due, *last_snapshot_ + interval);
+  if (snapshot_sent_)
+    due = std::max(due, *snapshot_sent_ + retry);
+  return due;
+}
+
+void config_machine::AppendSnapshotIfDue(step_context& c) {
+  const std::optional<time_point> due = SnapshotDue();
+  if (!due || c.now.steady < *due)
     return;
   snapshot_sent_ = c.now.steady;
   Append(++last_token_, EncodeConfigRecord(snapshot_record{table_}), c);
--- a/packages/config/tests/fake_cluster.h
+++ b/packages/config/tests/fake_cluster.h
@@ -243,7 +243,10 @@
     if (peers_on)
       PostBestPeer(i);
     Post(i, lowest_member{IsLowest(i)});
-    Post(i, tick{});
+    // As the duty does, which sleeps while nothing is due.
+    const auto due = h.machine->NextDeadline();
+    if (due && *due <= Now().steady)
+      Post(i, tick{});
   }
 
   // Reads on from the last record delivered, as the log duty does.
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -3,8 +3,10 @@
 #ifndef DOTTERELLEAD_CORE_H_
 #define DOTTERELLEAD_CORE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
+#include <concepts>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -311,9 +313,19 @@
 
 // ---- Duty threads
 
-// Message that a duty gives its machine once per tick interval.
+// Message that a duty gives its machine once per tick interval, or when it is
+// due.
 struct tick {};
 
+// A machine that says when it needs its next tick, so that its duty sleeps
+// until then. NextDeadline is asked after each step. A time in the past stands
+// for as soon as the tick interval allows, nullopt for no tick before the next
+// message.
+template <class Machine>
+concept deadline_machine = requires(const Machine& machine) {
+  { machine.NextDeadline() } -> std::same_as<std::optional<time_point>>;
+};
+
 // Runs one state machine on its own thread. The machine declares
 //   using message = std::variant<..., tick>;   using effect =
 //   std::variant<...>; void Step(const message&, const moment&,
@@ -328,7 +340,7 @@
   using effect_sink = std::function<void(effect&)>;
 
   // `name` (at most 15 characters) names the thread; `tick_interval` is the
-  // longest time between two ticks.
+  // time between two ticks, and the shortest one for a deadline_machine.
   duty(std::string name,
        Machine machine,
        const clock_source& clock,
@@ -376,9 +388,14 @@
   }
 
  private:
+  // Wake-up of a duty without a deadline; the ring wakes it earlier when there
+  // is work.
+  static constexpr std::chrono::hours kLongestSleep{1};
+
   void Run() {
     std::vector<effect> effects;
-    time_point next_tick = clock_.Now().steady + tick_interval_;
+    time_point last_tick = clock_.Now().steady;
+    time_point next_tick = NextTick(last_tick);
     while (true) {
       std::optional<message> m = ring_.PopUntil(next_tick);
       const moment now = clock_.Now();
@@ -386,13 +403,25 @@
         StepOnce(*m, now, effects);
       else if (ring_.is_closed())
         return;
+      next_tick = NextTick(last_tick);
       if (now.steady >= next_tick) {
         StepOnce(message(tick{}), now, effects);
-        next_tick = now.steady + tick_interval_;
+        last_tick = now.steady;
+        next_tick = NextTick(last_tick);
       }
     }
   }
 
+  time_point NextTick(time_point last_tick) const {
+    const time_point soonest = last_tick + tick_interval_;
+    if constexpr (deadline_machine<Machine>) {
+      const std::optional<time_point> due = machine_.NextDeadline();
+      return std::max(soonest, due.value_or(last_tick + kLongestSleep));
+    } else {
+      return soonest;
+    }
+  }
+
   void StepOnce(const message& m,
                 const moment& now,
                 std::vector<effect>& effects) {
@@ -412,14 +441,16 @@
 };
 
 // Machine without state, for a duty whose whole work is blocking I/O in its
-// sink.
+// sink. It needs no ticks.
 template <class Work>
 class relay_machine {
  public:
   using message = std::variant<Work, tick>;
-  using effect = std::variant<Work, tick>;
+  using effect = std::variant<Work>;
+  std::optional<time_point> NextDeadline() const { return std::nullopt; }
   void Step(const message& m, const moment&, std::vector<effect>& out) {
-    out.push_back(m);
+    if (const Work* work = std::get_if<Work>(&m))
+      out.emplace_back(*work);
   }
 };
 
--- a/packages/core/tests/core_test.cc
+++ b/packages/core/tests/core_test.cc
@@ -67,6 +67,65 @@
   CHECK_FALSE(d.Post(adder::add{1}));
 }
 
+// Passes its ticks on. A message sets when the next one is due.
+struct sleeper {
+  struct sleep_until {
+    std::optional<time_point> due;
+  };
+  using message = std::variant<sleep_until, tick>;
+  using effect = message;
+  std::optional<time_point> NextDeadline() const { return due; }
+  void Step(const message& m, const moment& now, std::vector<effect>& out) {
+    if (const auto* set = std::get_if<sleep_until>(&m))
+      due = set->due;
+    else if (due != time_point() && due <= now.steady)
+      due.reset();
+    out.push_back(m);
+  }
+  std::optional<time_point> due;
+};
+
+// Guards against a duty that wakes with nothing due, sleeps past a deadline or
+// a message, or spins on a deadline that has passed.
+TEST_CASE("duty sleeps until its machine's deadline") {
+  constexpr milliseconds kTick{10};
+  constexpr milliseconds kWatch{100};
+  struct {
+    const char* name;
+    std::optional<time_point> due;
+    int fewest_ticks;
+    int most_ticks;
+  } const cases[] = {{"nothing due", std::nullopt, 0, 0},
+                     {"due soon", Soon(200), 1, 1},
+                     {"due later", Soon(60'000), 0, 0},
+                     {"always due", time_point(), 3, 1'000}};
+  system_clock_source clock;
+  for (const auto& c : cases) {
+    CAPTURE(c.name);
+    std::atomic<int> messages{0};
+    std::atomic<int> ticks{0};
+    std::atomic<bool> early{false};
+    duty<sleeper> d("sleeper", {}, clock, kTick, [&](sleeper::effect& e) {
+      const bool is_tick = std::holds_alternative<tick>(e);
+      early = early || (is_tick && clock.Now().steady < c.due);
+      ++(is_tick ? ticks : messages);
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    d.Start();
+    CHECK(d.Post(sleeper::sleep_until{c.due}));
+    const time_point give_up = Soon(10'000);
+    while ((messages == 0 || ticks < c.fewest_ticks) && Soon(0) < give_up)
+      std::this_thread::sleep_for(milliseconds(1));
+    std::this_thread::sleep_for(kWatch);
+    d.Stop();
+    const auto most = (std::chrono::steady_clock::now() - begin) / kTick;
+    CHECK(messages == 1);
+    CHECK(ticks >= c.fewest_ticks);
+    CHECK(ticks <= std::min<std::int64_t>(c.most_ticks, most));
+    CHECK_FALSE(early);
+  }
+}
+
 // Guards against an answer reaching a caller that has already given up.
 TEST_CASE("reply_table reports answers that nobody waits for") {
   reply_table<int> table;
--- a/packages/drain/include/dotterellead/drain.h
+++ b/packages/drain/include/dotterellead/drain.h
@@ -70,6 +70,11 @@
   explicit drain_machine(drain_options options) : options_(options) {}
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
+  // Only a stop in progress needs ticks.
+  std::optional<time_point> NextDeadline() const {
+    return stop_began_ && !stopped_ ? std::optional(time_point())
+                                    : std::nullopt;
+  }
 
  private:
   void On(const declared_config& m,
--- a/packages/drain/tests/drain_test.cc
+++ b/packages/drain/tests/drain_test.cc
@@ -75,6 +75,7 @@
     for (int ms = 0; ms <= 20'000 && stopped_at < 0; ms += 100) {
       if (ms >= r.requests_end_ms)
         machine.Step(requests_in_flight{0}, At(ms), out);
+      REQUIRE(machine.NextDeadline() == time_point());
       machine.Step(tick{}, At(ms), out);
       if (out.size() == 2)
         stopped_at = ms;
--- a/packages/idempotency/include/dotterellead/idempotency.h
+++ b/packages/idempotency/include/dotterellead/idempotency.h
@@ -185,7 +185,7 @@
   std::size_t max_waiting = 4'096;
 };
 
-// Decides which requests may run. Tick every 20 ms.
+// Decides which requests may run. Tick every 20 ms while a tick is due.
 class idempotency_machine {
  public:
   using message = std::variant<begin_claim,
@@ -208,6 +208,9 @@
   idempotency_machine(idempotency_machine&&) noexcept;
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
+  // Work of this host's requests needs each tick; without any, only the oldest
+  // key's end does.
+  std::optional<time_point> NextDeadline() const;
 
   // True once every shard was read up to its tail and can be read.
   bool IsReady() const;
--- a/packages/idempotency/src/append_scheduler.cc
+++ b/packages/idempotency/src/append_scheduler.cc
@@ -39,6 +39,12 @@
           static_cast<double>(std::max<std::size_t>(1, hosts));
 }
 
+bool append_scheduler::IsIdle() const {
+  return std::ranges::all_of(shards_, [](const shard_queue& queue) {
+    return queue.waiting.empty() && !queue.in_flight;
+  });
+}
+
 void append_scheduler::Add(claim_shard shard, outgoing_record item) {
   shards_[shard.value()].waiting.push_back(std::move(item));
 }
--- a/packages/idempotency/src/append_scheduler.h
+++ b/packages/idempotency/src/append_scheduler.h
@@ -43,6 +43,8 @@
   };
 
   void SetHosts(std::size_t hosts);
+  // Nothing waits to be sent or for a result.
+  bool IsIdle() const;
   void Add(claim_shard shard, outgoing_record item);
   // The next append that the rate share allows now.
   std::optional<append_claim_records> Next(time_point now,
--- a/packages/idempotency/src/claim_table.cc
+++ b/packages/idempotency/src/claim_table.cc
@@ -16,6 +16,12 @@
   return it == entries_.end() ? nullptr : &it->second;
 }
 
+std::optional<unix_millis> claim_table::OldestCreation() const {
+  if (entries_.empty())
+    return std::nullopt;
+  return KeyCreation(entries_.begin()->first);
+}
+
 void claim_table::DropCreatedBefore(unix_millis oldest) {
   while (!entries_.empty() && *KeyCreation(entries_.begin()->first) < oldest) {
     entries_.erase(entries_.begin());
--- a/packages/idempotency/src/claim_table.h
+++ b/packages/idempotency/src/claim_table.h
@@ -34,6 +34,8 @@
   // Records must come in offset order, each once.
   claim_change Apply(const claim_log_record& record, time_point now);
   const claim_entry* Find(const idempotency_key& key) const;
+  // When the oldest key was created; nullopt if there is none.
+  std::optional<unix_millis> OldestCreation() const;
   // Forgets keys created before `oldest`.
   void DropCreatedBefore(unix_millis oldest);
   std::size_t size() const { return entries_.size(); }
--- a/packages/idempotency/src/idempotency_machine.cc
+++ b/packages/idempotency/src/idempotency_machine.cc
@@ -43,6 +43,18 @@
   Flush();
 }
 
+std::optional<time_point> idempotency_machine::impl::NextDeadline() const {
+  if (!started_ || !local_.empty() || !scheduler_.IsIdle())
+    return time_point();
+  const std::optional<unix_millis> oldest = table_.OldestCreation();
+  if (!oldest || retention_ == milliseconds(0))
+    return std::nullopt;
+  // The first millisecond in which the key is older than the retention. Each
+  // read of the log asks again, so a step of the wall clock is made up for.
+  const std::int64_t ends = oldest->value + retention_.count() + 1;
+  return now_.steady + milliseconds(ends - now_.wall.value);
+}
+
 bool idempotency_machine::impl::IsReady() const {
   return std::ranges::all_of(
       shards_, [](const shard_position& shard) { return shard.IsReady(); });
@@ -375,6 +387,10 @@
   impl_->Step(m, now, out);
 }
 
+std::optional<time_point> idempotency_machine::NextDeadline() const {
+  return impl_->NextDeadline();
+}
+
 bool idempotency_machine::IsReady() const {
   return impl_->IsReady();
 }
--- a/packages/idempotency/src/machine_impl.h
+++ b/packages/idempotency/src/machine_impl.h
@@ -70,6 +70,7 @@
   explicit impl(idempotency_options options) : options_(std::move(options)) {}
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
+  std::optional<time_point> NextDeadline() const;
   bool IsReady() const;
   std::size_t size() const { return table_.size(); }
 
--- a/packages/measure/include/dotterellead/measure.h
+++ b/packages/measure/include/dotterellead/measure.h
@@ -108,6 +108,8 @@
   using effect = std::variant<send_probe, load_estimate, probe_suspicion>;
 
   void Step(const message& m, const moment& now, std::vector<effect>& out);
+  // The next probe, or the end of one, or the next weight to tell.
+  std::optional<time_point> NextDeadline() const;
 
  private:
   struct server_state {
@@ -146,6 +148,9 @@
                          std::vector<effect>& out);
   static void Earn(server_state& state, const moment& now);
   static bool IsDue(const server_state& state, const moment& now);
+  // These return time_point::max() for never.
+  static time_point ProbeDue(const server_state& state);
+  static time_point TellDue(const server_state& state);
   static void Tell(server_state& state,
                    const moment& now,
                    std::vector<effect>& out);
--- a/packages/measure/src/measure_machine.cc
+++ b/packages/measure/src/measure_machine.cc
@@ -194,6 +194,40 @@
          now.steady >= state.last_sent + interval;
 }
 
+std::optional<time_point> measure_machine::NextDeadline() const {
+  time_point due = time_point::max();
+  for (const auto& [server, state] : servers_)
+    due = std::min({due, ProbeDue(state), TellDue(state)});
+  return due == time_point::max() ? std::nullopt : std::optional(due);
+}
+
+time_point measure_machine::ProbeDue(const server_state& state) {
+  if (state.probing)
+    return state.last_sent + state.time_limit + limits::kProbeOutcomeMargin;
+  const double rate = RateOf(state.spec);
+  if (rate <= 0)
+    return time_point::max();
+  const double lacking = std::max(0.0, state.cost_us - state.credit_us);
+  const microseconds earning(
+      static_cast<std::int64_t>(std::ceil(lacking / rate)));
+  return std::max(state.earned_until + earning,
+                  state.last_sent + IntervalOf(state.spec, state.cost_us));
+}
+
+// When WeightOf falls to the told weight less kWeightStep, or to zero.
+time_point measure_machine::TellDue(const server_state& state) {
+  if (!state.report || state.told_weight == 0)
+    return time_point::max();
+  if (state.trust_per_mille <= 0)
+    return time_point();
+  const std::uint32_t next =
+      state.told_weight - std::min(state.told_weight, kWeightStep);
+  const double age_share = 1.0 - (next + 1.0) / state.trust_per_mille;
+  const auto age = microseconds(limits::kMaxReportAge) * age_share;
+  // Weights are cut to whole numbers, so it falls just after this age.
+  return state.made_at + std::chrono::ceil<microseconds>(age) + microseconds(1);
+}
+
 void measure_machine::Tell(server_state& state,
                            const moment& now,
                            std::vector<effect>& out) {
