Separate the home's side of forwarding from the caller's

Sending on a slot, the home's side and the reading of a home's result are files of their own now.

The forward listener keeps a thread for each idle connection of other hosts. It now ends idle connections while others wait for a thread, so that kept connections of many hosts cannot delay forwarded requests for 5 s.

proxy_test, http_test, metrics_test, operate_test, peer_test and golden_test pass.

--- a/apps/dotterellead/forwarding.cc
+++ b/apps/dotterellead/forwarding.cc
@@ -75,6 +75,7 @@
       handle_(std::move(handle)),
       listener_({.address = ForwardAddressOf(options.peer_address),
                  .threads = limits::kForwardThreads,
+                 .closes_idle_when_full = true,
                  .max_headers = limits::kMaxHeaders + limits::kForwardHeaders,
                  .max_header_bytes = byte_count{limits::kMaxHeaderBytes +
                                                 limits::kForwardHeaderBytes},
--- a/packages/http/include/dotterellead/http.h
+++ b/packages/http/include/dotterellead/http.h
@@ -75,6 +75,9 @@
   socket_address address;
   // One thread serves one connection while it is open.
   std::size_t threads = 16;
+  // Ends connections that are idle for 100 ms while others wait for a thread. A
+  // client may lose a request that it sends at that moment.
+  bool closes_idle_when_full = false;
   byte_count max_body{limits::kMaxBodyBytes};
   std::size_t max_headers = limits::kMaxHeaders;
   byte_count max_header_bytes{limits::kMaxHeaderBytes};
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -130,6 +130,23 @@
   size_t header_bytes_ = kNotCounting;
 };
 
+// Counts the connections that wait for a thread.
+class counting_pool : public httplib::ThreadPool {
+ public:
+  counting_pool(std::size_t threads, std::atomic<std::size_t>& waiting)
+      : ThreadPool(threads), waiting_(waiting) {}
+  void enqueue(std::function<void()> serve) override {
+    ++waiting_;
+    ThreadPool::enqueue([this, serve = std::move(serve)] {
+      --waiting_;
+      serve();
+    });
+  }
+
+ private:
+  std::atomic<std::size_t>& waiting_;
+};
+
 void Refuse(call_context& call, int status, std::string reason) {
   if (call.refusal_status != 0)
     return;
@@ -238,7 +255,7 @@
   impl(http_listener_options options, handler handle)
       : options_(std::move(options)), handle_(std::move(handle)) {
     new_task_queue = [this] {
-      return new httplib::ThreadPool(options_.threads);
+      return new counting_pool(options_.threads, waiting_);
     };
     set_socket_options(AllowRestart);
     set_tcp_nodelay(true);
@@ -373,6 +390,8 @@
       if (stream.WaitReadable(kStopCheck))
         return true;
       waited += kStopCheck;
+      if (options_.closes_idle_when_full && waiting_ > 0)
+        return false;
     }
     return closing_ && stream.WaitReadable(milliseconds(0));
   }
@@ -394,6 +413,7 @@
   handler handle_;
   std::thread accepting_;
   std::atomic<bool> closing_{false};
+  std::atomic<std::size_t> waiting_{0};
   std::atomic<std::uint64_t> next_connection_{1};
 };
 
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -110,6 +110,31 @@
   }
 }
 
+// Guards against a caller's largest request being refused once another host has
+// added headers to it, and against idle connections that hold all threads.
+TEST_CASE("a listener can take more headers and give up idle connections") {
+  std::string most = "GET / HTTP/1.1\r\nConnection: close\r\n";
+  while (most.size() + 5'000 < limits::kMaxHeaderBytes + 4'000)
+    most += "A: " + std::string(5'000, 'x') + "\r\n";
+  for (const bool has_room : {false, true}) {
+    http_listener listener(
+        {.address = ParseSocketAddress("127.0.0.1:0"),
+         .threads = 1,
+         .closes_idle_when_full = true,
+         .max_header_bytes =
+             byte_count{limits::kMaxHeaderBytes + (has_room ? 8'000 : 0)}},
+        [](const http_request&, const http_peer&) { return http_answer{}; });
+    listener.Start();
+    http_connection idle(listener.address());
+    CHECK(idle.Send({"GET", "/", {}, ""}, kTimeout).ok());
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string answer = Exchange(listener.address(), most + "\r\n");
+    CHECK((answer.substr(0, 12) == "HTTP/1.1 200") == has_room);
+    CHECK(std::chrono::steady_clock::now() - begin < milliseconds(1'000));
+    CHECK_FALSE(idle.IsReusable());
+  }
+}
+
 // Guards against a second process silently sharing a port.
 TEST_CASE("a port in use is an error at start") {
   echo_server first;
--- a/packages/proxy/src/attempt_outcome.cc
+++ b/packages/proxy/src/attempt_outcome.cc
@@ -8,6 +8,11 @@
   return answer.status == 503 && run != nullptr && *run == "not-run";
 }
 
+bool IsTimeout(std::string_view reason) {
+  return reason == kTimeoutReason || reason == kHomeTimeoutReason ||
+         reason == to_string(refusal_reason::kDeadline);
+}
+
 }  // namespace
 
 attempt_result ResultOf(const attempt& sent) {
@@ -63,6 +68,19 @@
   }
 }
 
+http_answer MakeFailedAnswer(std::string_view reason, run_state run) {
+  const int status = IsTimeout(reason)           ? 504
+                     : run == run_state::kNotRun ? 503
+                                                 : 502;
+  const char* remedy =
+      run == run_state::kNotRun
+          ? "it did not run; send it again later"
+          : "it may have run; resend with the same Idempotency-Key to learn "
+            "the outcome";
+  return MakeOwnAnswer(status, run, reason,
+                       "no backend server gave a whole answer", remedy);
+}
+
 bool IsFailure(const http_answer& answer) {
   return answer.status >= 500 && !SaysNotRun(answer);
 }
--- a/packages/proxy/src/attempt_outcome.h
+++ b/packages/proxy/src/attempt_outcome.h
@@ -16,6 +16,7 @@
 inline constexpr std::string_view kCancelledReason = "cancelled";
 inline constexpr std::string_view kShedReason = "backend-shed";
 inline constexpr std::string_view kTimeoutReason = "backend-timeout";
+inline constexpr std::string_view kHomeTimeoutReason = "home-timeout";
 
 // The reason that callers and metrics get for an attempt without an answer.
 std::string_view ReasonOf(attempt_result result);
@@ -27,6 +28,9 @@
                     const attempt& sent,
                     time_point deadline);
 
+// The answer to a caller whose request got none from a backend server.
+http_answer MakeFailedAnswer(std::string_view reason, run_state run);
+
 // A 5xx counts against the server's version.
 bool IsFailure(const http_answer& answer);
 
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -5,11 +5,13 @@
 #include "attempt_outcome.h"
 #include "dotterellead/proxy.h"
 #include "forward_codec.h"
+#include "forward_result.h"
+#include "home_flow.h"
+#include "slot_sender.h"
 
 namespace dotterellead {
 namespace {
 
-constexpr std::string_view kTimeoutHeader = "request-timeout-ms";
 constexpr std::string_view kKeyHeader = "idempotency-key";
 constexpr std::size_t kMaxAttempts = 4;
 
@@ -30,13 +32,6 @@
   microseconds at_backends{0};
 };
 
-constexpr std::string_view kHomeTimeoutReason = "home-timeout";
-
-bool IsTimeout(std::string_view reason) {
-  return reason == kTimeoutReason || reason == kHomeTimeoutReason ||
-         reason == to_string(refusal_reason::kDeadline);
-}
-
 // What an attempt means for the request.
 struct attempt_report {
   run_state run = run_state::kNotRun;
@@ -48,15 +43,6 @@
   bool retry_is_free = false;
 };
 
-// What came back from a home, or instead of its answer.
-struct forward_result {
-  forward_answer ended;
-  // The home gave its load.
-  bool has_load = false;
-  // How it is counted.
-  std::string_view outcome;
-};
-
 bool IsFromBackend(const http_answer& answer) {
   return FindHeader(answer.headers, "dotterellead-run") == nullptr;
 }
@@ -69,68 +55,14 @@
   return request_fingerprint(StableHash(text) >> 1);
 }
 
-// How a forwarded request ended for which the home gave no whole answer.
-forward_result WithoutAnswer(const home_attempt& at_home) {
-  switch (ResultOf(at_home.sent)) {
-    case attempt_result::kNotSent:
-      return {{.run = run_state::kNotRun, .reason = "home-unknown"},
-              false,
-              "not-sent"};
-    case attempt_result::kConnectFailed:
-      return {{.run = run_state::kNotRun, .reason = "home-connect"},
-              false,
-              "connect-failed"};
-    case attempt_result::kTimedOut:
-      return {{.reason = std::string(kHomeTimeoutReason)}, false, "timed-out"};
-    case attempt_result::kCancelled:
-      return {{.reason = std::string(kCancelledReason)}, false, "cancelled"};
-    default:
-      return {{.reason = "home-cut"}, false, "cut"};
-  }
-}
-
-// Only a home's listener answers without an envelope that nothing ran, and only
-// before it has passed the request on.
-forward_result WithoutEnvelope(const http_headers& headers) {
-  const std::string* run = FindHeader(headers, "dotterellead-run");
-  if (!HasForwardEnvelope(headers) && run != nullptr && *run == "not-run") {
-    return {{.run = run_state::kNotRun, .reason = "home-refused"},
-            false,
-            "refused-by-listener"};
-  }
-  return {{.reason = "home-answer"}, false, "bad-envelope"};
-}
-
-forward_result ResultAtHome(const home_attempt& at_home) {
-  if (at_home.sent.not_sent || !at_home.sent.result.ok())
-    return WithoutAnswer(at_home);
-  const http_headers& headers = at_home.sent.result.answer.headers;
-  std::optional<forward_answer> ended = DecodeForwardAnswer(headers);
-  if (!ended)
-    return WithoutEnvelope(headers);
-  const std::string_view outcome = ended->run == run_state::kDone ? "answered"
-                                   : ended->run == run_state::kNotRun
-                                       ? "not-run"
-                                       : "unknown";
-  return {std::move(*ended), true, outcome};
-}
-
-// The home stops waiting a little earlier than this host, so that its answer,
-// which carries its load, still arrives. A home's duties are up to 20 ms late.
-constexpr milliseconds kAnswerMargin{30};
-
-microseconds TimeLeftForHome(time_point now, time_point deadline) {
-  const auto left =
-      std::max(microseconds(0),
-               std::chrono::duration_cast<microseconds>(deadline - now));
-  return left - std::min<microseconds>(kAnswerMargin, left / 10);
-}
-
 }  // namespace
 
 class request_flow::impl {
  public:
-  explicit impl(flow_parts parts) : parts_(std::move(parts)) {}
+  explicit impl(flow_parts parts)
+      : parts_(std::move(parts)),
+        sender_(parts_.slots, parts_.backends, parts_.clock),
+        home_(parts_.slots, sender_, parts_.clock) {}
 
   http_answer Handle(const http_request& request, const http_peer& caller) {
     call c{.request = request, .caller = caller};
@@ -147,25 +79,7 @@
 
   http_answer HandleForwarded(const http_request& request,
                               const http_peer& caller) {
-    const std::optional<forward_request> wanted =
-        DecodeForwardRequest(request.headers);
-    if (!wanted) {
-      return MakeOwnAnswer(400, run_state::kNotRun, "bad-envelope",
-                           "the forwarding header is missing or malformed",
-                           "run the same release on all entry hosts");
-    }
-    attempt_report report;
-    forward_answer ended =
-        RunForwarded(*wanted, request, caller, report.answer);
-    ended.load = parts_.slots.LoadOf(wanted->pool);
-    report.run = ended.run;
-    report.reason = ended.reason;
-    http_answer answer = ended.run == run_state::kDone
-                             ? std::move(report.answer)
-                             : FailedAnswer(report, ended.run);
-    RemoveForwardHeaders(answer.headers);
-    answer.headers.push_back(EncodeForward(ended));
-    return answer;
+    return home_.Handle(NextRequest(), request, caller);
   }
 
  private:
@@ -249,8 +163,8 @@
         break;
       }
     }
-    return FailedAnswer(
-        last, may_have_run ? run_state::kUnknown : run_state::kNotRun);
+    return MakeFailedAnswer(
+        last.reason, may_have_run ? run_state::kUnknown : run_state::kNotRun);
   }
 
   http_answer RunClaimed(call& c) {
@@ -281,7 +195,7 @@
         return std::move(last.answer);
       }
       if (last.run == run_state::kUnknown) {
-        http_answer answer = FailedAnswer(last, run_state::kUnknown);
+        http_answer answer = MakeFailedAnswer(last.reason, run_state::kUnknown);
         parts_.claims.Finish(c.key, answer, run_state::kUnknown);
         return answer;
       }
@@ -291,7 +205,7 @@
       }
     }
     parts_.claims.Void(c.key);
-    return FailedAnswer(last, run_state::kNotRun);
+    return MakeFailedAnswer(last.reason, run_state::kNotRun);
   }
 
   attempt_report TryOnce(call& c, acquire_kind kind) {
@@ -316,38 +230,10 @@
         where);
   }
 
-  // One attempt on a slot, and what became of it.
-  struct slot_attempt {
-    attempt sent;
-    release result;
-  };
-
-  slot_attempt SendAndRelease(request_id id,
-                              const assigned& slot,
-                              const http_request& request,
-                              bool idempotent,
-                              time_point request_deadline,
-                              const http_peer& caller) {
-    const time_point deadline =
-        std::min(request_deadline, Now() + slot.max_run);
-    const attempt_limits limits{.send_before = slot.send_before,
-                                .deadline = deadline,
-                                .needs_fresh = !idempotent,
-                                .cancel_with_caller = idempotent};
-    slot_attempt done;
-    done.sent = parts_.backends.Send(slot.server, Outgoing(request, deadline),
-                                     limits, caller);
-    done.result = MakeRelease(id, slot, done.sent, deadline);
-    parts_.slots.Release(done.result);
-    RemoveHopByHopHeaders(done.sent.result.answer.headers);
-    RemoveForwardHeaders(done.sent.result.answer.headers);
-    return done;
-  }
-
   attempt_report SendOn(call& c, const assigned& slot) {
     c.tried.push_back(slot.server);
-    slot_attempt done = SendAndRelease(
-        c.id, slot, c.request, c.match.idempotent, c.deadline, c.caller);
+    slot_attempt done = sender_.Send(c.id, slot, c.request, c.match.idempotent,
+                                     c.deadline, c.caller);
     c.at_backends += done.sent.latency;
     attempt_report report{.run = RunOf(done.result.result),
                           .answer = std::move(done.sent.result.answer),
@@ -369,18 +255,17 @@
         report.run == run_state::kUnknown || IsFailure(report.answer), latency);
   }
 
-  // ---- Forwarding, at the host that the caller used
-
   attempt_report Forward(call& c,
                          const member_id& home,
                          const version_id& version) {
-    http_request out = Outgoing(c.request, c.deadline);
+    const time_point now = Now();
+    http_request out = OutgoingRequest(c.request, now, c.deadline);
     out.headers.push_back(
         EncodeForward({.pool = c.match.pool,
                        .tenant = c.tenant,
                        .version = version,
                        .excluded = c.tried,
-                       .left = TimeLeftForHome(Now(), c.deadline)}));
+                       .left = TimeLeftForHome(now, c.deadline)}));
     home_attempt at_home = parts_.homes.Send(home, std::move(out),
                                              {.send_before = c.deadline,
                                               .deadline = c.deadline,
@@ -424,69 +309,6 @@
     return report;
   }
 
-  // ---- Forwarding, at the home
-
-  forward_answer RunForwarded(const forward_request& wanted,
-                              const http_request& request,
-                              const http_peer& caller,
-                              http_answer& answer) {
-    const request_id id = NextRequest();
-    const time_point deadline = Now() + wanted.left;
-    const auto where = parts_.slots.Acquire({.request = id,
-                                             .pool = wanted.pool,
-                                             .tenant = wanted.tenant,
-                                             .version = wanted.version,
-                                             .excluded = wanted.excluded,
-                                             .deadline = deadline,
-                                             .kind = acquire_kind::kForwarded});
-    const auto* slot = std::get_if<assigned>(&where);
-    if (slot == nullptr) {
-      const auto* no = std::get_if<refused>(&where);
-      const refusal_reason reason =
-          no == nullptr ? refusal_reason::kNotHome : no->reason;
-      return {.run = run_state::kNotRun,
-              .reason = std::string(to_string(reason))};
-    }
-    // A host that was paused finds requests that nobody waits for any more.
-    if (caller.IsGone()) {
-      parts_.slots.Release({.request = id,
-                            .result = attempt_result::kNotSent,
-                            .server = slot->server});
-      return {.run = run_state::kNotRun,
-              .reason = std::string(kCancelledReason)};
-    }
-    slot_attempt done =
-        SendAndRelease(id, *slot, request, true, deadline, caller);
-    const run_state run = RunOf(done.result.result);
-    answer = std::move(done.sent.result.answer);
-    return {.run = run,
-            .reason = run == run_state::kDone
-                          ? std::string()
-                          : std::string(ReasonOf(done.result.result)),
-            .server = slot->server,
-            .version = slot->version,
-            .at_backend = done.sent.latency,
-            .refuses_connections = done.sent.refuses_connections};
-  }
-
-  // The request as it goes on: without the headers that end here.
-  http_request Outgoing(const http_request& request,
-                        time_point deadline) const {
-    http_request out = request;
-    RemoveHopByHopHeaders(out.headers);
-    RemoveForwardHeaders(out.headers);
-    std::erase_if(out.headers, [](const http_header& header) {
-      return FindHeader({header}, kTimeoutHeader) != nullptr ||
-             FindHeader({header}, "expect") != nullptr;
-    });
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(deadline - Now());
-    out.headers.push_back(
-        {std::string(kTimeoutHeader),
-         std::to_string(std::max<std::int64_t>(1, left.count()))});
-    return out;
-  }
-
   http_answer Quarantined() const {
     return MakeOwnAnswer(
         503, run_state::kNotRun, "quarantined",
@@ -494,19 +316,6 @@
         "do not resend it; report it to the service's owners");
   }
 
-  http_answer FailedAnswer(const attempt_report& last, run_state run) const {
-    const int status = IsTimeout(last.reason)      ? 504
-                       : run == run_state::kNotRun ? 503
-                                                   : 502;
-    const char* remedy =
-        run == run_state::kNotRun
-            ? "it did not run; send it again later"
-            : "it may have run; resend with the same Idempotency-Key to learn "
-              "the outcome";
-    return MakeOwnAnswer(status, run, last.reason,
-                         "no backend server gave a whole answer", remedy);
-  }
-
   void Observe(const call& c, const http_answer& answer) {
     const auto total =
         std::chrono::duration_cast<microseconds>(Now() - c.received);
@@ -527,6 +336,8 @@
   }
 
   flow_parts parts_;
+  slot_sender sender_;
+  home_flow home_;
   std::atomic<std::uint64_t> next_request_{1};
 };
 
