--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -62,7 +62,7 @@
   return FindHeader({{std::string(name), ""}}, "content-length") != nullptr;
 }
 
-// Wakes all threads that poll its descriptor, from the time it is set.
+// Wakes all threads that poll its descriptor, while it is set.
 class wake_event {
  public:
   wake_event() : descriptor_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
@@ -76,6 +76,10 @@
   wake_event& operator=(const wake_event&) = delete;
 
   void Set() { eventfd_write(descriptor_, 1); }
+  void Reset() {
+    eventfd_t value = 0;
+    eventfd_read(descriptor_, &value);
+  }
   int descriptor() const { return descriptor_; }
 
  private:
@@ -96,12 +100,14 @@
     pollfd state{socket_, POLLIN, 0};
     return poll(&state, 1, static_cast<int>(timeout.count())) > 0;
   }
-  // The same, but waits no longer than until `wake` is set.
-  bool WaitReadable(milliseconds timeout, const wake_event& wake) const {
+  // The same, but waits no longer than until one of the events is set. A
+  // negative descriptor stands for no event.
+  bool WaitReadable(milliseconds timeout,
+                    const std::array<int, 2>& events) const {
     if (begin_ < end_)
       return true;
-    std::array<pollfd, 2> states{
-        {{socket_, POLLIN, 0}, {wake.descriptor(), POLLIN, 0}}};
+    std::array<pollfd, 3> states{
+        {{socket_, POLLIN, 0}, {events[0], POLLIN, 0}, {events[1], POLLIN, 0}}};
     int ready = 0;
     do {
       ready =
@@ -190,6 +196,27 @@
   size_t header_bytes_ = kNotCounting;
 };
 
+// Sets an event while there are more connections than threads.
+class counting_pool : public httplib::ThreadPool {
+ public:
+  counting_pool(std::size_t threads, wake_event& full)
+      : ThreadPool(threads), threads_(threads), full_(full) {}
+  void enqueue(std::function<void()> serve) override {
+    if (++connections_ > threads_)
+      full_.Set();
+    ThreadPool::enqueue([this, serve = std::move(serve)] {
+      serve();
+      if (--connections_ <= threads_)
+        full_.Reset();
+    });
+  }
+
+ private:
+  const std::size_t threads_;
+  wake_event& full_;
+  std::atomic<std::size_t> connections_{0};
+};
+
 void Refuse(call_context& call, int status, std::string reason) {
   if (call.refusal_status != 0)
     return;
@@ -298,7 +325,7 @@
   impl(http_listener_options options, handler handle)
       : options_(std::move(options)), handle_(std::move(handle)) {
     new_task_queue = [this] {
-      return new httplib::ThreadPool(options_.threads);
+      return new counting_pool(options_.threads, full_);
     };
     set_socket_options(AllowRestart);
     set_tcp_nodelay(true);
@@ -436,7 +463,10 @@
     socket_stream stream(socket, options_.read_timeout,
                          options_.max_header_bytes);
     const std::uint64_t number = next_connection_.fetch_add(1);
-    while (stream.WaitReadable(options_.idle_timeout, close_idle_) &&
+    const std::array<int, 2> events{
+        close_idle_.descriptor(),
+        options_.closes_idle_when_full ? full_.descriptor() : -1};
+    while (stream.WaitReadable(options_.idle_timeout, events) &&
            ServeOne(stream, socket, number)) {
     }
     shutdown(socket, SHUT_RDWR);
@@ -450,6 +480,8 @@
   std::atomic<bool> closing_{false};
   // Set with closing_.
   wake_event close_idle_;
+  // Set while connections wait for a thread.
+  wake_event full_;
   std::atomic<std::uint64_t> next_connection_{1};
 };
 
