Take the death of a home for no crash of its requests

A home holds many requests, so its death tells nothing about one of them. A caller who went away also made its host avoid a sound home for 1 s. A cancelled forward leaves the home's standing.

--- a/apps/dotterellead/forwarding.cc
+++ b/apps/dotterellead/forwarding.cc
@@ -49,21 +49,19 @@
                          const std::string& secret)
     : directory_(directory), proof_(ProofOf(secret)), transport_(clock) {}
 
-home_attempt home_sender::Send(const member_id& home,
-                               http_request request,
-                               const attempt_limits& limits,
-                               const http_peer& caller) {
+attempt home_sender::Send(const member_id& home,
+                          http_request request,
+                          const attempt_limits& limits,
+                          const http_peer& caller) {
   const std::optional<std::string> peer = directory_.AddressOf(home);
   if (!peer)
-    return {.sent = {.result = {}, .not_sent = true}, .address = {}};
+    return {.result = {}, .not_sent = true};
   const server_id address(
       ForwardAddressOf(ParseSocketAddress(*peer)).ToString());
   request.headers.push_back({kForwardProofHeader, proof_});
-  home_attempt at_home{
-      .sent = transport_.Send(address, request, limits,
-                              caller_and_home(caller, directory_, home)),
-      .address = address};
-  send_failure& failure = at_home.sent.result.failure;
+  attempt at_home = transport_.Send(address, request, limits,
+                                    caller_and_home(caller, directory_, home));
+  send_failure& failure = at_home.result.failure;
   if (failure == send_failure::kCancelled && !caller.IsGone())
     failure = send_failure::kTimeout;
   return at_home;
--- a/apps/dotterellead/forwarding.h
+++ b/apps/dotterellead/forwarding.h
@@ -18,10 +18,10 @@
   home_sender(const clock_source& clock,
               const peer_directory& directory,
               const std::string& secret);
-  home_attempt Send(const member_id& home,
-                    http_request request,
-                    const attempt_limits& limits,
-                    const http_peer& caller) override;
+  attempt Send(const member_id& home,
+               http_request request,
+               const attempt_limits& limits,
+               const http_peer& caller) override;
 
  private:
   const peer_directory& directory_;
--- a/packages/balance/include/dotterellead/balance.h
+++ b/packages/balance/include/dotterellead/balance.h
@@ -61,8 +61,11 @@
   request_id request;
   pool_id pool;
   member_id home;
-  // What the home's answer said. Unset: the home gave no answer.
+  // What the home's answer said. Unset: there was no answer.
   std::optional<home_load> load;
+  // Without an answer: the home could not be reached or did not answer in time.
+  // False if the caller went away first.
+  bool home_failed = true;
 };
 
 // Gives up waiting; a slot assigned meanwhile comes back.
--- a/packages/balance/src/forward_role.cc
+++ b/packages/balance/src/forward_role.cc
@@ -97,6 +97,8 @@
   known_home& known = it->second;
   known.unanswered -= std::min(known.unanswered, 1U);
   if (!m.load) {
+    if (!m.home_failed)
+      return;
     known.reported_at.reset();
     known.avoided_until = now + kUnreachableTime;
     return;
--- a/packages/balance/tests/balance_forward_test.cc
+++ b/packages/balance/tests/balance_forward_test.cc
@@ -136,6 +136,18 @@
   CHECK(last->may_wait);
 }
 
+// Guards against callers who give up and make a host avoid a sound home.
+TEST_CASE("a caller who goes away says nothing about the home") {
+  for (const bool home_failed : {false, true}) {
+    forwarding_host h = BetweenTwoHomes();
+    h.Acquire(1, acquire_kind::kForwardable);
+    h.Step(forward_ended{request_id(1), pool_id("p"), kNear, std::nullopt,
+                         home_failed});
+    CHECK(First<forwarded>(h.Acquire(2, acquire_kind::kForwardable))->home ==
+          (home_failed ? kFar : kNear));
+  }
+}
+
 // Guards against payments that depend on a home's life, and against requests
 // that are forwarded in a circle.
 TEST_CASE("only forwardable requests are forwarded") {
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -143,22 +143,16 @@
                        const http_peer& caller) = 0;
 };
 
-// An attempt at a home. Its failures are those of the connection to the home.
-struct home_attempt {
-  attempt sent;
-  // Where the home takes forwarded requests. Invalid if it is not known; then
-  // nothing was sent.
-  server_id address;
-};
-
 // Sends requests to the homes of servers, which are other entry hosts.
 class home_transport {
  public:
   virtual ~home_transport() = default;
-  virtual home_attempt Send(const member_id& home,
-                            http_request request,
-                            const attempt_limits& limits,
-                            const http_peer& caller) = 0;
+  // The failures of the attempt are those of the connection to the home. A home
+  // whose address is not known is sent nothing.
+  virtual attempt Send(const member_id& home,
+                       http_request request,
+                       const attempt_limits& limits,
+                       const http_peer& caller) = 0;
 };
 
 // Carries the proof that a forwarded request comes from an entry host. Callers'
--- a/packages/proxy/src/forward_result.cc
+++ b/packages/proxy/src/forward_result.cc
@@ -12,8 +12,8 @@
 constexpr milliseconds kAnswerMargin{30};
 
 // How a forwarded request ended for which the home gave no whole answer.
-forward_result WithoutAnswer(const home_attempt& at_home) {
-  switch (ResultOf(at_home.sent)) {
+forward_result WithoutAnswer(const attempt& at_home) {
+  switch (ResultOf(at_home)) {
     case attempt_result::kNotSent:
       return {{.run = run_state::kNotRun, .reason = "home-unknown"},
               false,
@@ -45,10 +45,10 @@
 
 }  // namespace
 
-forward_result ResultAtHome(const home_attempt& at_home) {
-  if (at_home.sent.not_sent || !at_home.sent.result.ok())
+forward_result ResultAtHome(const attempt& at_home) {
+  if (at_home.not_sent || !at_home.result.ok())
     return WithoutAnswer(at_home);
-  const http_headers& headers = at_home.sent.result.answer.headers;
+  const http_headers& headers = at_home.result.answer.headers;
   std::optional<forward_answer> ended = DecodeForwardAnswer(headers);
   if (!ended)
     return WithoutEnvelope(headers);
--- a/packages/proxy/src/forward_result.h
+++ b/packages/proxy/src/forward_result.h
@@ -18,7 +18,7 @@
   std::string_view outcome;
 };
 
-forward_result ResultAtHome(const home_attempt& at_home);
+forward_result ResultAtHome(const attempt& at_home);
 
 // The time that a home gets for a request that ends at `deadline`.
 microseconds TimeLeftForHome(time_point now, time_point deadline);
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -280,25 +280,26 @@
                        .excluded = c.tried,
                        .left = TimeLeftForHome(now, c.deadline),
                        .may_wait = to.may_wait}));
-    home_attempt at_home = parts_.homes.Send(to.home, std::move(out),
-                                             {.send_before = c.deadline,
-                                              .deadline = c.deadline,
-                                              .cancel_with_caller = true},
-                                             c.caller);
+    attempt at_home = parts_.homes.Send(to.home, std::move(out),
+                                        {.send_before = c.deadline,
+                                         .deadline = c.deadline,
+                                         .cancel_with_caller = true},
+                                        c.caller);
     const forward_result result = ResultAtHome(at_home);
-    parts_.slots.EndForward({.request = c.id,
-                             .pool = c.match.pool,
-                             .home = to.home,
-                             .load = result.has_load
-                                         ? std::optional(result.ended.load)
-                                         : std::nullopt});
+    parts_.slots.EndForward(
+        {.request = c.id,
+         .pool = c.match.pool,
+         .home = to.home,
+         .load =
+             result.has_load ? std::optional(result.ended.load) : std::nullopt,
+         .home_failed = at_home.result.failure != send_failure::kCancelled});
     parts_.observer.Forwarded(result.outcome);
     return ReportForward(c, result, at_home);
   }
 
   attempt_report ReportForward(call& c,
                                const forward_result& result,
-                               home_attempt& at_home) {
+                               attempt& at_home) {
     const forward_answer& ended = result.ended;
     attempt_report report{.run = ended.run, .reason = ended.reason};
     // A server that sheds has seen the request; anything else that did not run
@@ -306,7 +307,7 @@
     report.retry_is_free =
         ended.run == run_state::kNotRun && ended.reason != kShedReason;
     if (ended.run == run_state::kDone) {
-      report.answer = std::move(at_home.sent.result.answer);
+      report.answer = std::move(at_home.result.answer);
       RemoveHopByHopHeaders(report.answer.headers);
       RemoveForwardHeaders(report.answer.headers);
     }
