--- a/apps/dotterellead/entry_host_effects.cc
+++ b/apps/dotterellead/entry_host_effects.cc
@@ -321,7 +321,7 @@
   // Drain knows of the requests before its notice time ends, however long a
   // chore in progress takes.
   drain_.Post(requests_in_flight{state_.in_flight});
-  housekeeping_.Post(leaving_started{});
+  DeliverSurely(housekeeping_, leaving_started{});
   callers_.BeginClosing();
   forwards_.BeginClosing();
   if (HasLog())
