--- a/tests/harness/harness.cc
+++ b/tests/harness/harness.cc
@@ -225,7 +225,7 @@
   entry_hosts_[i] = StartEntryHost(i);
 }
 
-void cluster::PublishHostList() const {
+void cluster::PublishHostList(const std::vector<server_handle>& leaving) const {
   Json::Value list(Json::arrayValue);
   for (int i = 0; i < options_.entry_hosts; ++i) {
     Json::Value host;
@@ -236,6 +236,14 @@
     host["state"] = "live";
     list.append(host);
   }
+  for (const server_handle& server : leaving) {
+    Json::Value host;
+    host["address"] = server.address.ToString();
+    host["data_centre"] = server.data_centre;
+    host["kind"] = "backend";
+    host["state"] = "leaving";
+    list.append(host);
+  }
   Json::Value control;
   control["hosts"] = list;
   ControlPlatform(FormatJson(control));
--- a/tests/harness/include/harness.h
+++ b/tests/harness/include/harness.h
@@ -147,6 +147,8 @@
   void SetDataCentreOut(const std::string& name,
                         bool out,
                         std::size_t i = 0) const;
+  // Publishes the platform's host list: all entry hosts, and `leaving`.
+  void PublishHostList(const std::vector<server_handle>& leaving = {}) const;
 
   backend_ledger Ledger(const server_handle& server) const;
   // Sum over all servers; maxima are maxima.
@@ -162,7 +164,6 @@
   void StartBackendProcess(std::size_t process);
   std::unique_ptr<child_process> StartEntryHost(std::size_t i);
   void ApplyPools() const;
-  void PublishHostList() const;
   bool ServesAllPools(std::size_t i) const;
   std::string Address(int group, int port) const;
   std::string PeerAddress(int i) const;
--- a/tests/system/system_faults_test.cc
+++ b/tests/system/system_faults_test.cc
@@ -3,8 +3,7 @@
 #include <csignal>
 #include <thread>
 
-#include "harness.h"
-#include "load.h"
+#include "system_load.h"
 
 namespace dotterellead::harness {
 namespace {
@@ -26,34 +25,6 @@
   return options;
 }
 
-bench::load_options Load(const cluster& c, double rate, int seconds) {
-  bench::load_options load;
-  for (std::size_t i = 0; i < c.entry_host_count(); ++i)
-    load.targets.push_back(c.caller_address(i));
-  load.requests_per_second = rate;
-  load.duration = std::chrono::seconds(seconds);
-  return load;
-}
-
-// Runs `fault` one second into a load, and returns the load's samples.
-std::vector<bench::sample> RunWithFault(const bench::load_options& load,
-                                        const std::function<void()>& fault) {
-  std::exception_ptr problem;
-  std::thread injector([&] {
-    std::this_thread::sleep_for(milliseconds(1'000));
-    try {
-      fault();
-    } catch (...) {
-      problem = std::current_exception();
-    }
-  });
-  std::vector<bench::sample> samples = bench::RunLoad(load);
-  injector.join();
-  if (problem)
-    std::rethrow_exception(problem);
-  return samples;
-}
-
 // What callers were told must agree with what the backend servers ran.
 void CheckAtMostOnce(const cluster& c,
                      const std::vector<bench::sample>& samples) {
--- a/tests/system/system_path_test.cc
+++ b/tests/system/system_path_test.cc
@@ -3,8 +3,7 @@
 #include <csignal>
 #include <thread>
 
-#include "harness.h"
-#include "load.h"
+#include "system_load.h"
 
 namespace dotterellead::harness {
 namespace {
@@ -26,15 +25,6 @@
           .log_folder = "out-path"};
 }
 
-bench::load_options Load(const cluster& c, double rate, int seconds) {
-  bench::load_options load;
-  for (std::size_t i = 0; i < c.entry_host_count(); ++i)
-    load.targets.push_back(c.caller_address(i));
-  load.requests_per_second = rate;
-  load.duration = std::chrono::seconds(seconds);
-  return load;
-}
-
 // Guards against a path that works in parts only: every host serves every
 // server, and none beyond its slots.
 TEST_CASE("requests of both kinds are served through every entry host") {
