--- a/packages/platform/tests/platform_http_test.cc
+++ b/packages/platform/tests/platform_http_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <mutex>
+
 #include "dotterellead/platform.h"
 
 namespace dotterellead {
@@ -12,17 +14,25 @@
   http_answer answer;
   bool cut = false;
   milliseconds delay{0};
+  std::mutex mutex;
   http_request last;
   http_listener listener{
       {.address = ParseSocketAddress("127.0.0.1:0"), .threads = 4},
       [this](const http_request& r, const http_peer& p) {
-        last = r;
+        {
+          std::lock_guard lock(mutex);
+          last = r;
+        }
         std::this_thread::sleep_for(delay);
         if (cut)
           p.Abort();
         return answer;
       }};
   scripted_platform() { listener.Start(); }
+  http_request Last() {
+    std::lock_guard lock(mutex);
+    return last;
+  }
 };
 
 // Guards against taking an append for refused, or for done, when it may have
@@ -60,8 +70,8 @@
         kTimeout);
     CHECK(result.status == r.status);
     CHECK(result.token == 9);
-    CHECK(platform.last.target == "/streams/s/records");
-    CHECK(platform.last.body == "{\"records\":[\"a\\\"\xc3\xa9\",\"b\"]}");
+    CHECK(platform.Last().target == "/streams/s/records");
+    CHECK(platform.Last().body == "{\"records\":[\"a\\\"\xc3\xa9\",\"b\"]}");
     if (r.status == append_status::kAppended)
       CHECK(result.first == log_offset(5));
   }
@@ -105,7 +115,7 @@
     http_log_client log(platform.listener.address());
     const auto result =
         log.Read(stream_id("s"), log_offset(3), 10, milliseconds(20));
-    CHECK(platform.last.target ==
+    CHECK(platform.Last().target ==
           "/streams/s/records?from=3&max=10&wait_ms=20");
     CHECK(std::holds_alternative<log_batch>(result) == r.good);
   }
--- a/packages/rollout/src/comparison.cc
+++ b/packages/rollout/src/comparison.cc
@@ -45,8 +45,10 @@
 };
 
 double LogChoose(std::uint64_t n, std::uint64_t k) {
+  // std::lgamma writes the global variable signgam.
   const auto of = [](std::uint64_t v) {
-    return std::lgamma(static_cast<double>(v) + 1);
+    int sign = 0;
+    return lgamma_r(static_cast<double>(v) + 1, &sign);
   };
   return of(n) - of(k) - of(n - k);
 }
