--- a/packages/balance/src/balance_machine.cc
+++ b/packages/balance/src/balance_machine.cc
@@ -98,7 +98,7 @@
       home_.emplace(servers_, step.now);
     std::visit([&](const auto& alternative) { On(alternative, step); }, m);
     Deliver(step);
-    PublishLoads(step);
+    PublishLoad(step);
   }
 
  private:
@@ -116,6 +116,9 @@
 
   void On(const config_changed& m, step_context& step) {
     servers_.SetConfig(*m.config, step.now);
+    std::erase_if(loads_, [this](const auto& entry) {
+      return servers_.FindPool(entry.first) == nullptr;
+    });
     home_->OnConfig(step);
     holder_.OnDirectoryChanged(step);
   }
@@ -147,7 +150,6 @@
   void On(const tick&, step_context& step) {
     holder_.OnTick(step);
     home_->OnTick(step);
-    all_touched_ = true;
     if (step.now >= next_report_)
       Report(step);
   }
@@ -228,20 +230,11 @@
     return load;
   }
 
-  void PublishLoads(step_context& step) {
-    if (std::exchange(all_touched_, false)) {
-      std::erase_if(loads_, [this](const auto& entry) {
-        return servers_.FindPool(entry.first) == nullptr;
-      });
-      for (const auto& [name, info] : servers_.pools())
-        PublishLoad(name, step);
-    } else if (touched_pool_.is_valid()) {
-      PublishLoad(touched_pool_, step);
-    }
-    touched_pool_ = pool_id();
-  }
-
-  void PublishLoad(const pool_id& pool, step_context& step) {
+  // Only pools with requests need their load: others learn it with the answers.
+  void PublishLoad(step_context& step) {
+    if (!touched_pool_.is_valid())
+      return;
+    const pool_id pool = std::exchange(touched_pool_, pool_id());
     const home_load load = LoadOf(pool, step.now);
     home_load& known = loads_[pool];
     if (load == known)
@@ -290,10 +283,9 @@
   holder_role holder_;
   std::optional<home_role> home_;
   std::vector<send_to_peer> outbox_;
-  // The loads last published, and the pools whose load this step may change.
+  // The loads last published, and the pool whose load this step may change.
   std::map<pool_id, home_load> loads_;
   pool_id touched_pool_;
-  bool all_touched_ = false;
   time_point next_report_;
   std::uint64_t peer_messages_sent_ = 0;
 };
