--- a/apps/dotterellead/main.cc
+++ b/apps/dotterellead/main.cc
@@ -1,48 +1,20 @@
-#include <csignal>
+#include <cstring>
 
-#include "entry_host.h"
-#include "settings.h"
-
-namespace {
-
-// Blocks the stop signals in all threads, so that main alone waits for them.
-sigset_t BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
-}  // namespace
+#include "run_entry.h"
+#ifdef DOTTERELLEAD_STANDALONE
+#include "run_standalone.h"
+#else
+#include <cstdio>
+#endif
 
 int main(int argc, char** argv) {
-  using namespace dotterellead;
-  std::signal(SIGPIPE, SIG_IGN);
-  const sigset_t stop_signals = BlockStopSignals();
-  try {
-    int exit_code = 0;
-    std::optional<settings> s = ParseSettings(argc, argv, exit_code);
-    if (!s)
-      return exit_code;
-    SetLogLevel(s->level);
-    if (s->check_only)
-      return 0;
-    entry_host host(std::move(*s));
-    host.Start();
-    LogEvent(log_level::kInfo, "serving");
-    int signal = 0;
-    sigwait(&stop_signals, &signal);
-    LogEvent(log_level::kInfo, "stopping");
-    host.Stop();
-    LogEvent(log_level::kInfo, "stopped");
-    return 0;
-  } catch (const error& e) {
-    LogEvent(log_level::kError, "start-failed",
-             {{"kind", std::string(to_string(e.kind()))},
-              {"problem", e.problem()},
-              {"remedy", e.remedy()}});
-    return 2;
-  }
+  if (argc > 1 && std::strcmp(argv[1], "entry") == 0)
+    return dotterellead::entry::RunEntry(argc - 1, argv + 1);
+#ifdef DOTTERELLEAD_STANDALONE
+  return dotterellead::RunStandalone(argc, argv);
+#else
+  std::fputs("this build serves on a platform only; run: dotterellead entry\n",
+             stderr);
+  return 2;
+#endif
 }
--- /dev/null
+++ b/apps/entry/entry_host.h
@@ -0,0 +1,40 @@
+// One entry host: the duties and the rings between them.
+#ifndef APPS_ENTRY_ENTRY_HOST_H_
+#define APPS_ENTRY_ENTRY_HOST_H_
+
+#include <atomic>
+#include <memory>
+
+#include "adapter/adapter.h"
+#include "dotterellead/dispatch.h"
+#include "dotterellead/traffic.h"
+#include "entry_settings.h"
+
+namespace dotterellead::entry {
+
+class entry_host {
+ public:
+  explicit entry_host(entry_settings settings);
+  ~entry_host();
+
+  void Start();
+  // Stops taking callers, lets requests in flight end, and returns when the
+  // process may end, after the stop time at the latest.
+  void Drain();
+
+ private:
+  void TakeCatalog(catalog::snapshot_ptr snapshot);
+  void CarryOut(dispatch::dispatcher::effect& effect);
+
+  entry_settings settings_;
+  system_clock_source clock_;
+  std::atomic<bool> has_config_ = false;
+  std::atomic<bool> is_draining_ = false;
+  std::unique_ptr<traffic::traffic_service> traffic_;
+  std::unique_ptr<duty<dispatch::dispatcher>> dispatcher_;
+  std::unique_ptr<adapter::store_duty> store_;
+};
+
+}  // namespace dotterellead::entry
+
+#endif  // APPS_ENTRY_ENTRY_HOST_H_
--- /dev/null
+++ b/apps/entry/run_entry.cc
@@ -0,0 +1,83 @@
+#include "run_entry.h"
+
+#include <csignal>
+
+#include "dotterellead/logging.h"
+#include "entry_host.h"
+#include "entry_settings.h"
+
+namespace dotterellead::entry {
+
+namespace {
+
+// Blocks the signals in all threads, so that the main thread alone takes them.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&signals, signal);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+void LogStartFailure(const error& e) {
+  LogEvent(log_level::kError, "start-failed",
+           {{"kind", std::string(to_string(e.kind()))},
+            {"problem", e.problem()},
+            {"remedy", e.remedy()}});
+}
+
+// Reads the settings again; a bad file changes nothing.
+void Reload(int argc, const char* const* argv) {
+  try {
+    int exit_code = 0;
+    const std::optional<entry_settings> read =
+        ReadSettings(argc, argv, exit_code);
+    if (!read)
+      return;
+    SetLogLevel(read->level);
+    LogEvent(log_level::kInfo, "settings-reloaded", {{"file", read->file}});
+  } catch (const error& e) {
+    LogEvent(log_level::kError, "settings-not-reloaded",
+             {{"problem", e.problem()}, {"remedy", e.remedy()}});
+  }
+}
+
+}  // namespace
+
+int RunEntry(int argc, const char* const* argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = BlockSignals();
+  try {
+    int exit_code = 0;
+    const std::optional<entry_settings> s = ReadSettings(argc, argv, exit_code);
+    if (!s || s->check_only)
+      return exit_code;
+    SetLogLevel(s->level);
+    logging::log_duty log({});
+    log.Start();
+    LogEvent(log_level::kInfo, "starting",
+             {{"host", s->host.value()},
+              {"data_centre", s->data_centre.value()},
+              {"front", to_string(s->front)}});
+    entry_host host(*s);
+    host.Start();
+    LogEvent(log_level::kInfo, "serving");
+    int signal = 0;
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
+      Reload(argc, argv);
+    LogEvent(log_level::kInfo, "stopping",
+             {{"signal", std::to_string(signal)}});
+    host.Drain();
+    LogEvent(log_level::kInfo, "stopped");
+    constexpr milliseconds kLogLimit{100};
+    log.Stop(kLogLimit);
+    // Threads end with the process; nothing is left to save.
+    std::_Exit(0);
+  } catch (const error& e) {
+    LogStartFailure(e);
+    return 2;
+  }
+}
+
+}  // namespace dotterellead::entry
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -193,12 +193,19 @@
 std::string FormatLogLine(unix_millis wall,
                           log_level level,
                           std::string_view event,
-                          std::initializer_list<log_field> fields);
+                          const std::vector<log_field>& fields);
 
-// Writes one event as one line to standard error.
+// Takes one whole line, with its line break. Thread-safe, must not block.
+using log_writer = std::function<void(std::string line)>;
+
+// Replaces standard error as the place that lines go to; call it before other
+// threads start. An empty writer restores standard error.
+void SetLogWriter(log_writer writer);
+
+// Writes one event as one line.
 void LogEvent(log_level level,
               std::string_view event,
-              std::initializer_list<log_field> fields = {});
+              const std::vector<log_field>& fields = {});
 
 // ---- Hashing
 
--- a/packages/core/src/log.cc
+++ b/packages/core/src/log.cc
@@ -10,6 +10,11 @@
 
 std::atomic<log_level> lowest_level{log_level::kInfo};
 
+log_writer& Writer() {
+  static log_writer writer;
+  return writer;
+}
+
 std::string_view LevelName(log_level level) {
   switch (level) {
     case log_level::kDebug:
@@ -44,6 +49,10 @@
 
 }  // namespace
 
+void SetLogWriter(log_writer writer) {
+  Writer() = std::move(writer);
+}
+
 void SetLogLevel(log_level lowest) {
   lowest_level = lowest;
 }
@@ -51,7 +60,7 @@
 std::string FormatLogLine(unix_millis wall,
                           log_level level,
                           std::string_view event,
-                          std::initializer_list<log_field> fields) {
+                          const std::vector<log_field>& fields) {
   std::string line = fmt::format("time_ms={} level={} event={}", wall.value,
                                  LevelName(level), event);
   for (const log_field& field : fields) {
@@ -68,13 +77,16 @@
 
 void LogEvent(log_level level,
               std::string_view event,
-              std::initializer_list<log_field> fields) {
+              const std::vector<log_field>& fields) {
   if (level < lowest_level)
     return;
   std::string line =
       FormatLogLine(system_clock_source().Now().wall, level, event, fields);
   line += '\n';
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  if (const log_writer& writer = Writer())
+    writer(std::move(line));
+  else
+    std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
 }  // namespace dotterellead
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.cc
@@ -0,0 +1,150 @@
+#include <fmt/core.h>
+
+#include "dispatcher_impl.h"
+
+namespace dotterellead::dispatch {
+
+std::string_view to_string(reject_reason reason) {
+  switch (reason) {
+    case reject_reason::kNoRoute:
+      return "no-route";
+    case reject_reason::kNoConfiguration:
+      return "no-configuration";
+    case reject_reason::kNoServer:
+      return "no-server";
+    case reject_reason::kNoRoom:
+      return "no-room";
+    case reject_reason::kCrashesServers:
+      return "crashes-servers";
+    case reject_reason::kTimedOut:
+      return "timed-out";
+    case reject_reason::kServerFailed:
+      return "server-failed";
+  }
+  return "unknown";
+}
+
+bool IsNotRun(reject_reason reason) {
+  return reason != reject_reason::kTimedOut &&
+         reason != reject_reason::kServerFailed;
+}
+
+dispatcher::dispatcher(dispatch_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings))) {}
+dispatcher::~dispatcher() = default;
+dispatcher::dispatcher(dispatcher&&) noexcept = default;
+
+void dispatcher::Step(const message& m,
+                      const moment& now,
+                      std::vector<effect>& out) {
+  impl_->Step(m, now, out);
+}
+
+std::optional<time_point> dispatcher::NextDeadline() const {
+  return impl_->NextDeadline();
+}
+
+std::size_t dispatcher::open_calls() const {
+  return impl_->open_calls();
+}
+
+dispatcher::impl::impl(dispatch_settings settings)
+    : settings_(std::move(settings)),
+      random_(static_cast<std::minstd_rand::result_type>(
+          settings_.seed % 2'147'483'646 + 1)),
+      cold_(settings_.self) {}
+
+void dispatcher::impl::Step(const message& m,
+                            const moment& now,
+                            effects& out) {
+  std::visit([&](const auto& typed) { On(typed, now, out); }, m);
+}
+
+std::optional<time_point> dispatcher::impl::NextDeadline() const {
+  std::optional<time_point> next;
+  for (const auto& [id, call] : calls_) {
+    const time_point due = call.now_in == phase::kWaiting
+                               ? std::min(call.retry_at, call.give_up)
+                               : call.give_up;
+    if (!next || due < *next)
+      next = due;
+  }
+  return next;
+}
+
+void dispatcher::impl::On(const catalog_changed& m,
+                          const moment&,
+                          effects& out) {
+  const bool is_new_config =
+      !known_ || known_->config != m.snapshot->config;
+  known_ = m.snapshot;
+  if (is_new_config) {
+    routes_ = catalog::route_table(known_->config);
+    pool_credit_.clear();
+    if (known_->config)
+      Log(out, "configuration-in-force",
+          {{"version", fmt::format("{}", known_->config->version.value())},
+           {"routes", fmt::format("{}", known_->config->routes.size())}});
+  }
+  servers_by_pool_.clear();
+  for (const auto& [id, server] : known_->servers)
+    servers_by_pool_[server.pool].push_back(id);
+}
+
+void dispatcher::impl::On(const move_share_changed& m,
+                          const moment&,
+                          effects& out) {
+  move_shares_[{m.pool, m.target}] = m.per_mille;
+  Log(out, "move-share",
+      {{"pool", m.pool.value()},
+       {"target", m.target.value()},
+       {"per_mille", fmt::format("{}", m.per_mille)}});
+}
+
+void dispatcher::impl::On(const hosts_changed& m, const moment&, effects&) {
+  cold_.SetHosts(m.live);
+}
+
+void dispatcher::impl::On(const server_failure_heard& m,
+                          const moment& now,
+                          effects&) {
+  health_.Suspected(m.server, now.steady);
+}
+
+void dispatcher::impl::On(const tick&, const moment& now, effects& out) {
+  std::vector<request_id> due;
+  for (const auto& [id, call] : calls_)
+    if (call.give_up <= now.steady ||
+        (call.now_in == phase::kWaiting && call.retry_at <= now.steady))
+      due.push_back(id);
+  for (const request_id id : due) {
+    call_state& call = calls_.at(id);
+    if (call.give_up <= now.steady)
+      Reject(id, call,
+             call.may_have_run() ? reject_reason::kTimedOut
+                               : reject_reason::kNoRoom,
+             now, out);
+    else
+      StartSampling(id, call, now, out);
+  }
+}
+
+work_estimate& dispatcher::impl::WorkOf(const catalog::route& route) {
+  return work_.try_emplace(route.name, route.target).first->second;
+}
+
+double dispatcher::impl::SlackShare() const {
+  // Half of the slack stays for hosts that restart and forget their window,
+  // and for members that this host does not know yet.
+  return settings_.repeat_slack / 2 /
+         static_cast<double>(cold_.host_count());
+}
+
+void dispatcher::impl::Log(
+    effects& out,
+    std::string event,
+    std::vector<std::pair<std::string_view, std::string>> fields) {
+  out.emplace_back(decision{std::move(event), std::move(fields)});
+}
+
+}  // namespace dotterellead::dispatch
--- /dev/null
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -0,0 +1,143 @@
+#ifndef DOTTERELLEAD_DISPATCH_DISPATCHER_IMPL_H_
+#define DOTTERELLEAD_DISPATCH_DISPATCHER_IMPL_H_
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cold_guard.h"
+#include "dotterellead/dispatch.h"
+#include "placement.h"
+#include "retry_budget.h"
+#include "server_health.h"
+#include "version_filter.h"
+
+namespace dotterellead::dispatch {
+
+class dispatcher::impl {
+ public:
+  explicit impl(dispatch_settings settings);
+
+  void Step(const message& m, const moment& now, std::vector<effect>& out);
+  std::optional<time_point> NextDeadline() const;
+  std::size_t open_calls() const { return calls_.size(); }
+
+ private:
+  using effects = std::vector<effect>;
+
+  enum class phase { kSampling, kWaiting, kSending };
+
+  // A call that is not yet answered.
+  struct call_state {
+    std::string caller_request;
+    // Keeps `route` alive through configuration changes.
+    catalog::configuration_ptr config;
+    const catalog::route* route = nullptr;
+    pool_id pool;
+    bool is_trial = false;
+    phase now_in = phase::kSampling;
+    time_point arrived;
+    // When the caller gets an answer of ours at the latest.
+    time_point give_up;
+    // End of the caller's own patience.
+    time_point patience_ends;
+    // Next step of a waiting call.
+    time_point retry_at;
+    int rounds = 0;
+    int sends = 0;
+    // An attempt that has ended may have run.
+    bool earlier_may_have_run = false;
+    bool caller_is_gone = false;
+    std::set<server_id> tried;
+    // The server of the attempt under way and what it reported before.
+    server_id server;
+    version_id server_version;
+    load_report load_at_send;
+    time_point sent;
+    std::map<server_id, load_sample> samples;
+
+    bool may_have_run() const {
+      return earlier_may_have_run || now_in == phase::kSending;
+    }
+  };
+
+  void On(const call_arrived& m, const moment& now, effects& out);
+  void On(const samples_taken& m, const moment& now, effects& out);
+  void On(const attempt_ended& m, const moment& now, effects& out);
+  void On(const caller_left& m, const moment& now, effects& out);
+  void On(const catalog_changed& m, const moment& now, effects& out);
+  void On(const move_share_changed& m, const moment& now, effects& out);
+  void On(const hosts_changed& m, const moment& now, effects& out);
+  void On(const server_failure_heard& m, const moment& now, effects& out);
+  void On(const tick& m, const moment& now, effects& out);
+
+  // Routing (arrival.cc).
+  pool_id PickPool(const catalog::route& route);
+  bool PickTrial(const pool_id& pool);
+  version_rule RuleOf(const pool_id& pool) const;
+
+  // Sampling and placing (placing.cc).
+  std::vector<const catalog::backend_server*> UsableServers(
+      const call_state& call,
+      const moment& now) const;
+  void StartSampling(request_id id,
+                     call_state& call,
+                     const moment& now,
+                     effects& out);
+  void Place(request_id id, call_state& call, const moment& now, effects& out);
+  bool MayUse(const call_state& call,
+              const load_sample& sample,
+              const catalog::backend_server& server,
+              const moment& now,
+              bool is_cold_allowed);
+  void Send(request_id id,
+            call_state& call,
+            const candidate& to,
+            milliseconds predicted,
+            const moment& now,
+            effects& out);
+  void WaitOrReject(request_id id,
+                    call_state& call,
+                    std::optional<milliseconds> predicted,
+                    const moment& now,
+                    effects& out);
+  milliseconds RetryAfter(const call_state& call, const moment& now);
+
+  // Results (attempts.cc).
+  void RecordOutcome(const call_state& call,
+                     const attempt_ended& m,
+                     const moment& now,
+                     effects& out);
+  bool MayRepeat(call_state& call, const attempt_ended& m, const moment& now);
+  void Finish(request_id id, effect answer, effects& out);
+  void Reject(request_id id,
+              call_state& call,
+              reject_reason reason,
+              const moment& now,
+              effects& out);
+
+  work_estimate& WorkOf(const catalog::route& route);
+  double SlackShare() const;
+  static void Log(effects& out,
+                  std::string event,
+                  std::vector<std::pair<std::string_view, std::string>> fields);
+
+  dispatch_settings settings_;
+  std::minstd_rand random_;
+  catalog::snapshot_ptr known_;
+  catalog::route_table routes_;
+  std::map<pool_id, std::vector<server_id>> servers_by_pool_;
+  std::map<std::pair<pool_id, version_id>, std::uint32_t> move_shares_;
+  std::map<request_id, call_state> calls_;
+  std::map<catalog::route_name, work_estimate> work_;
+  std::map<pool_id, retry_budget> budgets_;
+  std::map<catalog::route_name, std::vector<double>> pool_credit_;
+  server_health health_;
+  cold_guard cold_;
+};
+
+}  // namespace dotterellead::dispatch
+
+#endif  // DOTTERELLEAD_DISPATCH_DISPATCHER_IMPL_H_
--- /dev/null
+++ b/packages/dispatch/src/version_filter.cc
@@ -0,0 +1,73 @@
+#include "version_filter.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace dotterellead::dispatch {
+
+namespace {
+
+using catalog::backend_server;
+using catalog::snapshot;
+
+// Versions of the pool's servers, by the start of their oldest server.
+std::vector<version_id> VersionsByAge(const snapshot& known,
+                                      const pool_id& pool) {
+  std::map<version_id, unix_millis> oldest;
+  for (const auto& [id, server] : known.servers) {
+    if (server.pool != pool)
+      continue;
+    auto [it, is_new] = oldest.try_emplace(server.version, server.born);
+    if (!is_new)
+      it->second = std::min(it->second, server.born);
+  }
+  std::vector<version_id> versions;
+  for (const auto& [version, born] : oldest)
+    versions.push_back(version);
+  std::stable_sort(versions.begin(), versions.end(),
+                   [&](const version_id& a, const version_id& b) {
+                     return oldest[a] < oldest[b];
+                   });
+  return versions;
+}
+
+}  // namespace
+
+version_rule RuleFor(const snapshot& known,
+                     const pool_id& pool,
+                     std::uint32_t trial_per_mille) {
+  version_rule rule;
+  auto order = known.moves.find(pool);
+  auto status = known.move_statuses.find(pool);
+  const bool is_settled =
+      status != known.move_statuses.end() &&
+      (order == known.moves.end() ||
+       (status->second.target == order->second.target &&
+        status->second.revision == order->second.revision));
+  if (is_settled && status->second.state == catalog::move_state::kCompleted) {
+    rule.only = status->second.target;
+  } else if (is_settled &&
+             status->second.state == catalog::move_state::kRolledBack) {
+    rule.excluded = status->second.target;
+  } else if (order != known.moves.end()) {
+    rule.trial = order->second.target;
+    rule.trial_per_mille = trial_per_mille;
+  } else {
+    const std::vector<version_id> versions = VersionsByAge(known, pool);
+    if (versions.size() > 1)
+      rule.only = versions.front();
+  }
+  return rule;
+}
+
+bool Allows(const version_rule& rule,
+            const version_id& version,
+            bool is_trial) {
+  if (rule.only.is_valid())
+    return version == rule.only;
+  if (rule.trial.is_valid())
+    return (version == rule.trial) == is_trial;
+  return !rule.excluded.is_valid() || version != rule.excluded;
+}
+
+}  // namespace dotterellead::dispatch
