--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -18,11 +18,39 @@
 // Time kept back at the end of the stop time for closing connections.
 constexpr milliseconds kStopMargin{400};
 constexpr milliseconds kDrainStep{50};
+constexpr std::size_t kMovesRing = 256;
+// How often the root looks at moves under way.
+constexpr milliseconds kMovesTick{200};
+
+// Hands a message to a duty, which empties its ring without blocking.
+template <class Duty, class Message>
+void Post(Duty& to, Message message) {
+  constexpr milliseconds kRoomWait{500};
+  if (!to.PostUntil(std::move(message),
+                    std::chrono::steady_clock::now() + kRoomWait))
+    LogEvent(log_level::kError, "duty-message-lost");
+}
+
+void Log(const std::string& event,
+         const std::vector<std::pair<std::string_view, std::string>>& pairs) {
+  std::vector<log_field> fields;
+  for (const auto& [key, value] : pairs)
+    fields.push_back({key, value});
+  LogEvent(log_level::kInfo, event, fields);
+}
 
 }  // namespace
 
 entry_host::entry_host(entry_settings settings)
     : settings_(std::move(settings)) {
+  MakeDispatcher();
+  MakeTraffic();
+  MakeMoves();
+  MakeFleet();
+  MakeStore();
+}
+
+void entry_host::MakeDispatcher() {
   dispatch::dispatch_settings d;
   d.self = settings_.host;
   d.data_centre = settings_.data_centre;
@@ -37,16 +65,63 @@
       "dispatch", dispatch::dispatcher(d), clock_, kDispatchTick,
       [this](dispatch::dispatcher::effect& effect) { CarryOut(effect); },
       kDispatchRing);
+}
+
+void entry_host::MakeTraffic() {
   traffic_ = std::make_unique<traffic::traffic_service>(
       traffic::traffic_settings{settings_.front, settings_.ready,
                                 adapter::HeaderNames()},
       [this](dispatch::dispatcher::message m) {
         return dispatcher_->Post(std::move(m));
       });
+}
+
+void entry_host::MakeMoves() {
+  moves_ = std::make_unique<duty<moves::move_machine>>(
+      "moves",
+      moves::move_machine({settings_.expose_share, settings_.expose_slack}),
+      clock_, kMovesTick,
+      [this](moves::move_machine::effect& effect) { CarryOut(effect); },
+      kMovesRing);
+}
+
+void entry_host::MakeFleet() {
+  fleet::fleet_settings f;
+  f.self = {settings_.host, settings_.data_centre, settings_.peers};
+  f.run =
+      incarnation_id(static_cast<std::uint64_t>(clock_.Now().wall.value));
+  f.seeds = settings_.seeds;
+  fleet::fleet_callbacks callbacks;
+  callbacks.news_heard = [this](fleet::news_batch batch) {
+    store_->TakeNews(std::move(batch));
+  };
+  callbacks.hosts_changed = [this](std::vector<member_id> live) {
+    Post(*dispatcher_, dispatch::hosts_changed{std::move(live)});
+  };
+  callbacks.role_changed = [this](bool is_root) {
+    Post(*moves_, moves::role_changed{is_root});
+  };
+  callbacks.stages_heard = [this](std::vector<moves::stage> stages) {
+    Post(*moves_, moves::stages_heard{std::move(stages)});
+  };
+  callbacks.tallies_heard = [this](moves::tallies counts) {
+    Post(*moves_, moves::tallies_counted{std::move(counts)});
+  };
+  callbacks.server_failed = [this](server_id server) {
+    Post(*dispatcher_, dispatch::server_failure_heard{std::move(server)});
+  };
+  fleet_ =
+      std::make_unique<fleet::fleet_duty>(std::move(f), std::move(callbacks));
+}
+
+void entry_host::MakeStore() {
   adapter::store_callbacks callbacks;
   callbacks.catalog_changed = [this](catalog::snapshot_ptr snapshot) {
     TakeCatalog(std::move(snapshot));
   };
+  callbacks.news_read = [this](fleet::news_batch batch) {
+    fleet_->Publish(std::move(batch));
+  };
   callbacks.store_changed = [](bool) {};
   store_ = std::make_unique<adapter::store_duty>(
       adapter::store_settings{settings_.store}, std::move(callbacks));
@@ -54,13 +129,17 @@
 
 entry_host::~entry_host() {
   store_->Stop();
+  fleet_->Stop();
   traffic_->Stop();
+  moves_->Stop();
   dispatcher_->Stop();
 }
 
 void entry_host::Start() {
   dispatcher_->Start();
+  moves_->Start();
   traffic_->Start();
+  fleet_->Start();
   store_->Start();
 }
 
@@ -69,22 +148,45 @@
     traffic_->SetLimits(snapshot->config->limits);
     has_config_ = true;
   }
-  constexpr milliseconds kRoomWait{1'000};
-  if (!dispatcher_->PostUntil(dispatch::catalog_changed{snapshot},
-                              std::chrono::steady_clock::now() + kRoomWait))
-    LogEvent(log_level::kError, "catalog-change-lost");
+  Post(*dispatcher_, dispatch::catalog_changed{snapshot});
+  Post(*moves_, moves::catalog_changed{snapshot});
   traffic_->SetReady(has_config_ && !is_draining_);
 }
 
 void entry_host::CarryOut(dispatch::dispatcher::effect& effect) {
   if (const auto* line = std::get_if<dispatch::decision>(&effect)) {
-    std::vector<log_field> fields;
-    for (const auto& [key, value] : line->fields)
-      fields.push_back({key, value});
-    LogEvent(log_level::kInfo, line->event, fields);
-    return;
+    Log(line->event, line->fields);
+  } else if (const auto* failed =
+                 std::get_if<dispatch::server_failed>(&effect)) {
+    fleet_->ReportFailure(failed->server);
+  } else if (const auto* seen =
+                 std::get_if<dispatch::version_observed>(&effect)) {
+    moves::tallies one;
+    one[{seen->pool, seen->order, seen->is_target, seen->route}] = {
+        1, seen->is_bad ? 1U : 0U};
+    Post(*moves_, moves::tallies_counted{std::move(one)});
+  } else {
+    traffic_->Carry(std::move(effect));
   }
-  traffic_->Carry(std::move(effect));
+}
+
+void entry_host::CarryOut(moves::move_machine::effect& effect) {
+  std::visit(
+      overloaded{
+          [this](moves::stages_changed& changed) {
+            for (const moves::stage& s : changed.stages)
+              Post(*dispatcher_, dispatch::move_share_changed{
+                                     s.pool, s.target, s.per_mille});
+            fleet_->PublishStages(std::move(changed.stages));
+          },
+          [this](moves::write_status& write) {
+            store_->WriteStatus(std::move(write.pool), write.status);
+          },
+          [this](moves::pass_tallies& pass) {
+            fleet_->PassTallies(std::move(pass.counts));
+          },
+          [](moves::decision& line) { Log(line.event, line.fields); }},
+      effect);
 }
 
 void entry_host::Drain() {
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -7,6 +7,8 @@
 
 #include "adapter/adapter.h"
 #include "dotterellead/dispatch.h"
+#include "dotterellead/fleet.h"
+#include "dotterellead/moves.h"
 #include "dotterellead/traffic.h"
 #include "entry_settings.h"
 
@@ -25,6 +27,12 @@
  private:
   void TakeCatalog(catalog::snapshot_ptr snapshot);
   void CarryOut(dispatch::dispatcher::effect& effect);
+  void CarryOut(moves::move_machine::effect& effect);
+  void MakeDispatcher();
+  void MakeTraffic();
+  void MakeMoves();
+  void MakeFleet();
+  void MakeStore();
 
   entry_settings settings_;
   system_clock_source clock_;
@@ -32,6 +40,8 @@
   std::atomic<bool> is_draining_ = false;
   std::unique_ptr<traffic::traffic_service> traffic_;
   std::unique_ptr<duty<dispatch::dispatcher>> dispatcher_;
+  std::unique_ptr<duty<moves::move_machine>> moves_;
+  std::unique_ptr<fleet::fleet_duty> fleet_;
   std::unique_ptr<adapter::store_duty> store_;
 };
 
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -35,7 +35,8 @@
                  "file of settings, one NAME=VALUE a line "
                  "(environment: DOTTERELLEAD_BOOT)",
                  file != nullptr);
-  std::string host, data_centre, front, ready, store;
+  std::string host, data_centre, front, ready, store, peers;
+  std::vector<std::string> seeds;
   std::string level = "info";
   double stop_s = 6;
   double repeat_window_s = 10;
@@ -55,6 +56,17 @@
   app.add_option("--store", store, "address of the platform's store, IP:PORT")
       ->envname("DOTTERELLEAD_STORE")
       ->required();
+  app.add_option("--peers", peers, "address for other hosts, IP:PORT")
+      ->envname("DOTTERELLEAD_PEERS")
+      ->required();
+  app.add_option("--seeds", seeds, "hosts to begin with, IP:PORT")
+      ->delimiter(',');
+  app.add_option("--expose-share", s.expose_share,
+                 "share of requests that a bad version may get")
+      ->check(CLI::Range(0.0, 1.0));
+  app.add_option("--expose-slack", s.expose_slack,
+                 "requests beyond the share that a bad version may get")
+      ->check(CLI::Range(0.0, 1e6));
   app.add_option("--stop-s", stop_s, "seconds from SIGTERM to the end")
       ->check(CLI::Range(0.1, 600.0));
   app.add_option("--repeat-ratio", s.repeat_ratio,
@@ -91,6 +103,10 @@
   s.front = ReadEndpoint(front, "front");
   s.ready = ReadEndpoint(ready, "ready");
   s.store = ReadEndpoint(store, "store");
+  s.peers = ReadEndpoint(peers, "peers");
+  for (const std::string& seed : seeds)
+    if (!seed.empty())
+      s.seeds.push_back(ReadEndpoint(seed, "seeds"));
   s.stop_time = FromSeconds(stop_s);
   s.repeat_window = FromSeconds(repeat_window_s);
   const std::map<std::string, log_level> levels{
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -21,6 +21,9 @@
   catalog::endpoint front;
   catalog::endpoint ready;
   catalog::endpoint store;
+  // Where other hosts reach this one, and hosts to begin with.
+  catalog::endpoint peers;
+  std::vector<catalog::endpoint> seeds;
   // Longest time from the order to stop until the process ends.
   milliseconds stop_time{6'000};
   double repeat_ratio = 0.2;
@@ -28,6 +31,8 @@
   double repeat_slack = 50;
   double cold_factor = 1.5;
   double cold_slack = 5;
+  double expose_share = 0.1;
+  double expose_slack = 50;
   log_level level = log_level::kInfo;
   bool check_only = false;
 };
--- a/packages/catalog/include/dotterellead/catalog.h
+++ b/packages/catalog/include/dotterellead/catalog.h
@@ -118,7 +118,11 @@
 struct move_status {
   version_id target;
   move_state state = move_state::kRunning;
+  // The order that this is the outcome of.
   log_offset revision;
+  // When the order was first seen, by the clock of the host that wrote this.
+  unix_millis started;
+  bool operator==(const move_status&) const = default;
 };
 
 using configuration_ptr = std::shared_ptr<const configuration>;
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -174,10 +174,12 @@
 // An attempt of a pool with a move under way has ended.
 struct version_observed {
   pool_id pool;
-  version_id version;
+  log_offset order;
+  // Whether the server has the move's target version.
+  bool is_target = false;
   catalog::route_name route;
-  bool is_failure = false;
-  microseconds taken{0};
+  // Failed, or took several times as long as expected.
+  bool is_bad = false;
 };
 
 // One line of the decision log.
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -8,6 +8,9 @@
 
 // First HTTP status that tells a failure of the server.
 constexpr int kServerError = 500;
+// An answer that took this many times the predicted time counts against its
+// server's version: a machine that turns slow meanwhile stays below it.
+constexpr int kSlowFactor = 3;
 
 std::string_view to_string(attempt_result result) {
   switch (result) {
@@ -53,10 +56,23 @@
     health_.Failed(m.server, now.steady);
     out.emplace_back(server_failed{m.server});
   }
-  if (!DidNotRun(m.result) && known_->moves.contains(call.pool))
-    out.emplace_back(version_observed{call.pool, call.server_version,
-                                      call.route->name, !IsGoodAnswer(m),
-                                      m.taken});
+  if (!DidNotRun(m.result))
+    ObserveVersion(call, !IsGoodAnswer(m), now, out);
+}
+
+void dispatcher::impl::ObserveVersion(const call_state& call,
+                                      bool is_failure,
+                                      const moment& now,
+                                      effects& out) {
+  const auto order = known_->moves.find(call.pool);
+  if (order == known_->moves.end())
+    return;
+  const bool is_slow =
+      now.steady - call.sent > call.predicted * kSlowFactor;
+  out.emplace_back(version_observed{
+      call.pool, order->second.revision,
+      call.server_version == order->second.target, call.route->name,
+      is_failure || is_slow});
 }
 
 bool dispatcher::impl::MayRepeat(call_state& call,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -119,6 +119,10 @@
       due.push_back(id);
   for (const request_id id : due) {
     call_state& call = calls_.at(id);
+    if (call.give_up <= now.steady && call.now_in == phase::kSending) {
+      health_.Failed(call.server, now.steady);
+      ObserveVersion(call, true, now, out);
+    }
     if (call.give_up <= now.steady)
       Reject(id, call,
              call.may_have_run() ? reject_reason::kTimedOut
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -55,6 +55,7 @@
     server_id server;
     version_id server_version;
     load_report load_at_send;
+    milliseconds predicted{0};
     time_point sent;
     std::map<server_id, load_sample> samples;
 
@@ -110,6 +111,11 @@
                      const attempt_ended& m,
                      const moment& now,
                      effects& out);
+  // Counts an attempt on a pool whose traffic is being moved.
+  void ObserveVersion(const call_state& call,
+                      bool is_failure,
+                      const moment& now,
+                      effects& out);
   bool MayRepeat(call_state& call, const attempt_ended& m, const moment& now);
   void Finish(request_id id, effect answer, effects& out);
   void Reject(request_id id,
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -39,7 +39,8 @@
     return usable;
   const version_rule rule = RuleOf(call.pool);
   // Once its trial ended, a call goes where the rest goes.
-  const bool is_trial = call.is_trial && rule.trial.is_valid();
+  const bool is_trial = call.is_trial && rule.trial.is_valid() &&
+                        rule.trial_per_mille > 0;
   for (const server_id& id : pool->second) {
     const catalog::backend_server& server = known_->servers.at(id);
     if (server.is_leaving || call.tried.contains(id) ||
@@ -204,6 +205,7 @@
   call.server_version = known_->servers.at(to.server.id).version;
   call.load_at_send = to.load;
   call.sent = now.steady;
+  call.predicted = predicted;
   call.tried.insert(to.server.id);
   ++call.sends;
   Log(out, "placed",
--- a/platform/src/store_client.cc
+++ b/packages/net/src/http_link.cc
@@ -1,6 +1,6 @@
-#include "store_client.h"
+#include "dotterellead/http_link.h"
 
-namespace dotterellead::adapter {
+namespace dotterellead {
 
 namespace {
 
@@ -10,26 +10,26 @@
 
 }  // namespace
 
-task<store_answer> store_client::Call(http::verb verb,
+task<http_answer> http_link::Call(http::verb verb,
                                       const std::string& target,
                                       const std::string& body,
                                       milliseconds limit) {
-  ++calls_;
+
   error_code ec;
   const time_point ends = std::chrono::steady_clock::now() + limit;
   if (!stream_) {
     stream_ = std::make_unique<beast::tcp_stream>(io_);
     buffer_.clear();
     stream_->expires_at(ends);
-    co_await stream_->async_connect(ToTcp(store_), Resume(ec));
+    co_await stream_->async_connect(ToTcp(server_), Resume(ec));
     if (!ec)
       stream_->socket().set_option(tcp::no_delay(true), ec);
   }
-  store_answer answer;
+  http_answer answer;
   if (!ec) {
     stream_->expires_at(ends);
     http::request<http::string_body> request(verb, target, 11);
-    request.set(http::field::host, to_string(store_));
+    request.set(http::field::host, to_string(server_));
     if (!body.empty() && body.front() == '{')
       request.set(http::field::content_type, "application/json");
     request.body() = body;
@@ -53,4 +53,4 @@
   co_return answer;
 }
 
-}  // namespace dotterellead::adapter
+}  // namespace dotterellead
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -31,7 +31,8 @@
 traffic_service::impl::impl(traffic_settings settings, to_dispatcher post)
     : settings_(std::move(settings)),
       post_(std::move(post)),
-      commands_(kCommandRing) {}
+      commands_(io_, "traffic", kCommandRing,
+                [this](command& c) { Apply(c); }) {}
 
 traffic_service::impl::~impl() {
   Stop();
@@ -54,24 +55,6 @@
     thread_.join();
 }
 
-void traffic_service::impl::Push(command c) {
-  // The event loop empties the ring without blocking, so this wait is short.
-  constexpr milliseconds kRoomWait{1'000};
-  if (!commands_.PushUntil(std::move(c),
-                           std::chrono::steady_clock::now() + kRoomWait)) {
-    LogEvent(log_level::kError, "traffic-command-lost");
-    return;
-  }
-  if (!is_wake_pending_.exchange(true))
-    asio::post(io_, [this] { DrainCommands(); });
-}
-
-void traffic_service::impl::DrainCommands() {
-  is_wake_pending_ = false;
-  while (std::optional<command> c = commands_.PopUntil(time_point::min()))
-    Apply(*c);
-}
-
 void traffic_service::impl::Apply(command& c) {
   std::visit(
       overloaded{[this](dispatch::dispatcher::effect& effect) {
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -6,6 +6,7 @@
 #include <thread>
 #include <variant>
 
+#include "dotterellead/mailbox.h"
 #include "dotterellead/traffic.h"
 #include "exchange.h"
 
@@ -46,7 +47,7 @@
   ~impl();
   void Start();
   void Stop();
-  void Push(command c);
+  void Push(command c) { commands_.Push(std::move(c)); }
   void SetReady(bool is_ready) { is_ready_ = is_ready; }
   traffic_counts counts() const;
 
@@ -72,7 +73,6 @@
   task<> AnswerReadyCheck(std::shared_ptr<beast::tcp_stream> stream);
 
   // Commands (service.cc).
-  void DrainCommands();
   void Apply(command& c);
   void On(dispatch::take_samples& e);
   void On(dispatch::send_attempt& e);
@@ -94,8 +94,7 @@
   tcp::acceptor front_{io_};
   tcp::acceptor ready_{io_};
   server_links links_{io_};
-  bounded_ring<command> commands_;
-  std::atomic<bool> is_wake_pending_ = false;
+  mailbox<command> commands_;
   std::map<request_id, call_ptr> calls_;
   std::uint64_t next_call_ = 1;
   catalog::caller_limits limits_;
