Let calls wait at the entry host for a free slot; count crashes over the fleet

Change: calls that find no slot wait in a queue of their pool by target and priority, which shares its sampling; own sends that a sample cannot show yet are added to it; callers that come back go behind fresh ones; requests that crash servers are counted over the fleet by caller, method, target and body.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -107,8 +107,8 @@
   callbacks.tallies_heard = [this](moves::tallies counts) {
     Post(*moves_, moves::tallies_counted{std::move(counts)});
   };
-  callbacks.server_failed = [this](server_id server) {
-    Post(*dispatcher_, dispatch::server_failure_heard{std::move(server)});
+  callbacks.crash_heard = [this](request_fingerprint fingerprint) {
+    Post(*dispatcher_, dispatch::crash_heard{fingerprint});
   };
   fleet_ =
       std::make_unique<fleet::fleet_duty>(std::move(f), std::move(callbacks));
@@ -156,9 +156,8 @@
 void entry_host::CarryOut(dispatch::dispatcher::effect& effect) {
   if (const auto* line = std::get_if<dispatch::decision>(&effect)) {
     Log(line->event, line->fields);
-  } else if (const auto* failed =
-                 std::get_if<dispatch::server_failed>(&effect)) {
-    fleet_->ReportFailure(failed->server);
+  } else if (const auto* crash = std::get_if<dispatch::crash_seen>(&effect)) {
+    fleet_->ReportCrash(crash->fingerprint);
   } else if (const auto* seen =
                  std::get_if<dispatch::version_observed>(&effect)) {
     moves::tallies one;
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -103,9 +103,9 @@
   std::vector<member_id> live;
 };
 
-// Servers that other hosts saw fail just now.
-struct server_failure_heard {
-  server_id server;
+// Another host saw a server end while it ran a request like this.
+struct crash_heard {
+  request_fingerprint fingerprint;
 };
 
 // ---- Effects
@@ -166,9 +166,9 @@
   request_id call;
 };
 
-// A server failed an attempt; worth telling the other hosts.
-struct server_failed {
-  server_id server;
+// A server ended while it ran a request like this; the other hosts should know.
+struct crash_seen {
+  request_fingerprint fingerprint;
 };
 
 // An attempt of a pool with a move under way has ended.
@@ -214,14 +214,14 @@
                                catalog_changed,
                                move_share_changed,
                                hosts_changed,
-                               server_failure_heard,
+                               crash_heard,
                                tick>;
   using effect = std::variant<take_samples,
                               send_attempt,
                               deliver_answer,
                               reject_call,
                               drop_call,
-                              server_failed,
+                              crash_seen,
                               version_observed,
                               decision>;
 
--- a/packages/dispatch/src/arrival.cc
+++ b/packages/dispatch/src/arrival.cc
@@ -11,6 +11,12 @@
 // Patience of a caller that does not state any; the route's timeout ends the
 // call sooner.
 constexpr milliseconds kUnstatedPatience{60'000};
+// Callers of a route whose patience tells the usual one: its upper quartile,
+// since few state more than usual and many may be coming back.
+constexpr std::size_t kRecentCallers = 32;
+// First requests of callers of one route differ by up to this part of the usual
+// patience.
+constexpr double kPatienceSpread = 0.2;
 
 }  // namespace
 
@@ -29,7 +35,14 @@
     Reject(m.call, call, reject_reason::kNoRoute, now, out);
     return;
   }
+  call.fingerprint = m.fingerprint;
+  if (crashes_.IsQuarantined(m.fingerprint, now.steady)) {
+    Reject(m.call, call, reject_reason::kCrashesServers, now, out);
+    return;
+  }
   call.config = known_->config;
+  call.target_ends =
+      now.steady + call.route->target - WaitedBefore(*call.route, m.patience);
   call.patience_ends = now.steady + m.patience.value_or(kUnstatedPatience);
   call.give_up = now.steady + std::min(call.route->timeout,
                                        m.patience.value_or(kUnstatedPatience));
@@ -42,6 +55,27 @@
   StartSampling(m.call, it->second, now, out);
 }
 
+// A caller that comes back after a failure states less patience than callers of
+// the route do at first; the difference is what it has waited already.
+milliseconds dispatcher::impl::WaitedBefore(
+    const catalog::route& route,
+    std::optional<milliseconds> patience) {
+  if (!patience)
+    return milliseconds(0);
+  std::deque<milliseconds>& recent = recent_patience_[route.name];
+  recent.push_back(*patience);
+  if (recent.size() > kRecentCallers)
+    recent.pop_front();
+  std::vector<milliseconds> sorted(recent.begin(), recent.end());
+  std::sort(sorted.begin(), sorted.end());
+  const milliseconds usual = sorted[sorted.size() * 3 / 4];
+  const milliseconds waited = usual - *patience;
+  const bool has_waited =
+      static_cast<double>(waited.count()) >
+      kPatienceSpread * static_cast<double>(usual.count());
+  return has_waited ? waited : milliseconds(0);
+}
+
 // Deals requests by weight: each pool earns its share of every request, and the
 // one with the most credit takes it. The first request starts at random, so
 // that hosts with little traffic do not all begin with the same pool.
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -11,6 +11,8 @@
 // An answer that took this many times the predicted time counts against its
 // server's version: a machine that turns slow meanwhile stays below it.
 constexpr int kSlowFactor = 3;
+// A server that lives answers a probe in some ms.
+constexpr milliseconds kCrashCheckLimit{60};
 
 std::string_view to_string(attempt_result result) {
   switch (result) {
@@ -54,12 +56,22 @@
     health_.Unreachable(m.server, now.steady);
   } else if (m.result != attempt_result::kNotRun) {
     health_.Failed(m.server, now.steady);
-    out.emplace_back(server_failed{m.server});
   }
+  if (m.result == attempt_result::kBroken)
+    StartCrashCheck(call, out);
   if (!DidNotRun(m.result))
     ObserveVersion(call, !IsGoodAnswer(m), now, out);
 }
 
+void dispatcher::impl::StartCrashCheck(const call_state& call, effects& out) {
+  const auto server = known_->servers.find(call.server);
+  if (server == known_->servers.end())
+    return;
+  const request_id id = NextRound();
+  crash_checks_[id] = call.fingerprint;
+  out.emplace_back(AskFor(id, {&server->second}, kCrashCheckLimit));
+}
+
 void dispatcher::impl::ObserveVersion(const call_state& call,
                                       bool is_failure,
                                       const moment& now,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -62,13 +62,15 @@
 
 std::optional<time_point> dispatcher::impl::NextDeadline() const {
   std::optional<time_point> next;
-  for (const auto& [id, call] : calls_) {
-    const time_point due = call.now_in == phase::kWaiting
-                               ? std::min(call.retry_at, call.give_up)
-                               : call.give_up;
+  auto consider = [&](time_point due) {
     if (!next || due < *next)
       next = due;
-  }
+  };
+  for (const auto& [id, call] : calls_)
+    consider(call.now_in == phase::kWaiting ? call.hold_ends : call.give_up);
+  for (const auto& [pool, queue] : queues_)
+    if (!queue.calls.empty() && !queue.round.is_valid())
+      consider(queue.next_round);
   return next;
 }
 
@@ -105,32 +107,37 @@
   cold_.SetHosts(m.live);
 }
 
-void dispatcher::impl::On(const server_failure_heard& m,
-                          const moment& now,
-                          effects&) {
-  health_.Suspected(m.server, now.steady);
+void dispatcher::impl::On(const crash_heard& m, const moment& now, effects&) {
+  crashes_.Count(m.fingerprint, now.steady);
 }
 
 void dispatcher::impl::On(const tick&, const moment& now, effects& out) {
   std::vector<request_id> due;
   for (const auto& [id, call] : calls_)
     if (call.give_up <= now.steady ||
-        (call.now_in == phase::kWaiting && call.retry_at <= now.steady))
+        (call.now_in == phase::kWaiting && call.hold_ends <= now.steady))
       due.push_back(id);
   for (const request_id id : due) {
     call_state& call = calls_.at(id);
-    if (call.give_up <= now.steady && call.now_in == phase::kSending) {
+    const bool may_have_run = call.may_have_run();
+    if (call.now_in == phase::kSending) {
       health_.Failed(call.server, now.steady);
       ObserveVersion(call, true, now, out);
     }
-    if (call.give_up <= now.steady)
-      Reject(id, call,
-             call.may_have_run() ? reject_reason::kTimedOut
-                               : reject_reason::kNoRoom,
-             now, out);
-    else
-      StartSampling(id, call, now, out);
+    Reject(id, call,
+           may_have_run ? reject_reason::kTimedOut : reject_reason::kNoRoom,
+           now, out);
   }
+  for (auto& [pool, queue] : queues_)
+    if (!queue.calls.empty() && !queue.round.is_valid() &&
+        queue.next_round <= now.steady)
+      StartPoolRound(pool, now, out);
+}
+
+request_id dispatcher::impl::NextRound() {
+  // Ids of rounds do not meet those of calls, which count from 1.
+  constexpr std::uint64_t kFirstRound = std::uint64_t{1} << 62;
+  return request_id(kFirstRound + next_round_++);
 }
 
 work_estimate& dispatcher::impl::WorkOf(const catalog::route& route) {
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELLEAD_DISPATCH_DISPATCHER_IMPL_H_
 #define DOTTERELLEAD_DISPATCH_DISPATCHER_IMPL_H_
 
+#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "cold_guard.h"
+#include "crash_guard.h"
 #include "dotterellead/dispatch.h"
 #include "placement.h"
 #include "retry_budget.h"
@@ -29,9 +31,26 @@
 
   enum class phase { kSampling, kWaiting, kSending };
 
+  struct seen_sample {
+    load_sample sample;
+    // When the server was asked.
+    time_point asked;
+  };
+
+  // Calls of one pool that wait for a free slot, and the sampling that they
+  // share.
+  struct pool_queue {
+    std::vector<request_id> calls;
+    // The sampling under way, if any.
+    request_id round;
+    time_point asked;
+    time_point next_round;
+  };
+
   // A call that is not yet answered.
   struct call_state {
     std::string caller_request;
+    request_fingerprint fingerprint;
     // Keeps `route` alive through configuration changes.
     catalog::configuration_ptr config;
     const catalog::route* route = nullptr;
@@ -39,12 +58,15 @@
     bool is_trial = false;
     phase now_in = phase::kSampling;
     time_point arrived;
+    // Until when an answer is worth most to the caller.
+    time_point target_ends;
     // When the caller gets an answer of ours at the latest.
     time_point give_up;
     // End of the caller's own patience.
     time_point patience_ends;
-    // Next step of a waiting call.
-    time_point retry_at;
+    // When a waiting call is rejected.
+    time_point hold_ends;
+    time_point asked;
     int rounds = 0;
     int sends = 0;
     // An attempt that has ended may have run.
@@ -57,7 +79,7 @@
     load_report load_at_send;
     milliseconds predicted{0};
     time_point sent;
-    std::map<server_id, load_sample> samples;
+    std::map<server_id, seen_sample> samples;
 
     bool may_have_run() const {
       return earlier_may_have_run || now_in == phase::kSending;
@@ -71,11 +93,13 @@
   void On(const catalog_changed& m, const moment& now, effects& out);
   void On(const move_share_changed& m, const moment& now, effects& out);
   void On(const hosts_changed& m, const moment& now, effects& out);
-  void On(const server_failure_heard& m, const moment& now, effects& out);
+  void On(const crash_heard& m, const moment& now, effects& out);
   void On(const tick& m, const moment& now, effects& out);
 
   // Routing (arrival.cc).
   pool_id PickPool(const catalog::route& route);
+  milliseconds WaitedBefore(const catalog::route& route,
+                            std::optional<milliseconds> patience);
   bool PickTrial(const pool_id& pool);
   version_rule RuleOf(const pool_id& pool) const;
 
@@ -99,11 +123,37 @@
             milliseconds predicted,
             const moment& now,
             effects& out);
-  void WaitOrReject(request_id id,
-                    call_state& call,
-                    std::optional<milliseconds> predicted,
+  // Own sends that a sample taken at `sampled` does not show yet.
+  std::uint32_t SendsSince(const server_id& server, time_point sampled) const;
+  std::vector<candidate> WarmCandidates(
+      const call_state& call,
+      const std::map<server_id, seen_sample>& samples,
+      const moment& now);
+  bool TrySendCold(request_id id,
+                   call_state& call,
+                   const std::map<server_id, seen_sample>& samples,
+                   const moment& now,
+                   effects& out);
+
+  // Waiting (waiting.cc).
+  void Enqueue(request_id id,
+               call_state& call,
+               const moment& now,
+               effects& out);
+  // Whether even an idle server would answer after the target.
+  bool IsLate(const call_state& call, const moment& now);
+  // Waiting calls of a pool, those first that should be served first.
+  std::vector<request_id> InOrder(const pool_id& pool, const moment& now);
+  void StartPoolRound(const pool_id& pool, const moment& now, effects& out);
+  void PlaceWaiting(const pool_id& pool,
+                    const std::map<server_id, seen_sample>& samples,
                     const moment& now,
                     effects& out);
+  candidate MakeCandidate(const catalog::backend_server& server,
+                          const seen_sample& seen) const;
+  take_samples AskFor(request_id id,
+                      const std::vector<const catalog::backend_server*>& from,
+                      milliseconds limit) const;
   milliseconds RetryAfter(const call_state& call, const moment& now);
 
   // Results (attempts.cc).
@@ -111,6 +161,8 @@
                      const attempt_ended& m,
                      const moment& now,
                      effects& out);
+  // Asks a server that broke a connection whether it still lives.
+  void StartCrashCheck(const call_state& call, effects& out);
   // Counts an attempt on a pool whose traffic is being moved.
   void ObserveVersion(const call_state& call,
                       bool is_failure,
@@ -126,6 +178,8 @@
 
   work_estimate& WorkOf(const catalog::route& route);
   double SlackShare() const;
+  // An id for sampling that belongs to no call.
+  request_id NextRound();
   static void Log(effects& out,
                   std::string event,
                   std::vector<std::pair<std::string_view, std::string>> fields);
@@ -137,9 +191,18 @@
   std::map<pool_id, std::vector<server_id>> servers_by_pool_;
   std::map<std::pair<pool_id, version_id>, std::uint32_t> move_shares_;
   std::map<request_id, call_state> calls_;
+  std::map<pool_id, pool_queue> queues_;
+  // Sampling rounds of queues, by the id they run under.
+  std::map<request_id, pool_id> rounds_;
+  std::uint64_t next_round_ = 0;
+  // Checks of servers that broke a connection, by the id they run under.
+  std::map<request_id, request_fingerprint> crash_checks_;
+  crash_guard crashes_;
+  std::map<server_id, std::deque<time_point>> own_sends_;
   std::map<catalog::route_name, work_estimate> work_;
   std::map<pool_id, retry_budget> budgets_;
   std::map<catalog::route_name, std::vector<double>> pool_credit_;
+  std::map<catalog::route_name, std::deque<milliseconds>> recent_patience_;
   server_health health_;
   cold_guard cold_;
 };
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -8,7 +8,7 @@
 
 // Slowdown of a server whose slots are all busy, as the operators' servers
 // show it near full.
-constexpr double kCrowdedFactor = 1.6;
+constexpr double kCrowdedFactor = 1.7;
 // Gain below which a request stays in its own data centre: a round trip and
 // the price of bytes between data centres.
 constexpr milliseconds kRemotePenalty{20};
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -16,11 +16,6 @@
 // How long to wait for samples. A probe takes one slot-free answer time of the
 // server plus a round trip, a few ms.
 constexpr milliseconds kSampleLimit{60};
-// Pause before servers are asked again when all are busy.
-constexpr milliseconds kWaitStep{25};
-// Part of the target that a call may wait for a slot. It leaves the rest for
-// the work, and tells callers early that there is no room.
-constexpr double kWaitPart = 0.5;
 // A predicted answer within this part of what is left of the target is good
 // enough to stop asking further servers.
 constexpr double kGoodPart = 0.9;
@@ -55,17 +50,39 @@
   return usable;
 }
 
+take_samples dispatcher::impl::AskFor(
+    request_id id,
+    const std::vector<const catalog::backend_server*>& from,
+    milliseconds limit) const {
+  take_samples ask;
+  ask.call = id;
+  ask.limit = std::min(kSampleLimit, limit);
+  for (const catalog::backend_server* s : from) {
+    const auto pool = known_->config->pools.find(s->pool);
+    ask.servers.push_back({s->id, s->address,
+                           pool == known_->config->pools.end()
+                               ? std::string("/")
+                               : pool->second.health_path});
+  }
+  return ask;
+}
+
 void dispatcher::impl::StartSampling(request_id id,
                                      call_state& call,
                                      const moment& now,
                                      effects& out) {
+  // Calls that wait already have a better claim to the next free slot.
+  if (call.rounds == 0 && !queues_[call.pool].calls.empty()) {
+    Enqueue(id, call, now, out);
+    return;
+  }
   std::vector<const catalog::backend_server*> servers =
       UsableServers(call, now);
   std::erase_if(servers, [&](const catalog::backend_server* s) {
     return call.samples.contains(s->id);
   });
   if (servers.empty()) {
-    WaitOrReject(id, call, std::nullopt, now, out);
+    Enqueue(id, call, now, out);
     return;
   }
   std::shuffle(servers.begin(), servers.end(), random_);
@@ -75,34 +92,51 @@
       });
   const std::size_t count = call.rounds == 0 ? kFirstSample : kNextSample;
   servers.resize(std::min(servers.size(), count));
-  const auto pool = known_->config->pools.find(call.pool);
-  take_samples ask;
-  ask.call = id;
-  ask.limit = std::min(
-      kSampleLimit,
-      std::chrono::duration_cast<milliseconds>(call.give_up - now.steady));
-  for (const catalog::backend_server* s : servers)
-    ask.servers.push_back({s->id, s->address,
-                           pool == known_->config->pools.end()
-                               ? std::string("/")
-                               : pool->second.health_path});
   call.now_in = phase::kSampling;
+  call.asked = now.steady;
   ++call.rounds;
-  out.emplace_back(std::move(ask));
+  out.emplace_back(AskFor(
+      id, servers,
+      std::chrono::duration_cast<milliseconds>(call.give_up - now.steady)));
 }
 
 void dispatcher::impl::On(const samples_taken& m,
                           const moment& now,
                           effects& out) {
-  auto it = calls_.find(m.call);
-  if (it == calls_.end() || it->second.now_in != phase::kSampling)
-    return;
-  for (const load_sample& sample : m.samples) {
+  for (const load_sample& sample : m.samples)
     if (sample.result == probe_result::kUnreachable ||
         sample.result == probe_result::kWrongServer)
       health_.Unreachable(sample.server, now.steady);
-    it->second.samples[sample.server] = sample;
+  if (auto round = rounds_.find(m.call); round != rounds_.end()) {
+    const pool_id pool = round->second;
+    rounds_.erase(round);
+    pool_queue& queue = queues_[pool];
+    std::map<server_id, seen_sample> samples;
+    for (const load_sample& sample : m.samples)
+      samples[sample.server] = {sample, queue.asked};
+    queue.round = request_id();
+    PlaceWaiting(pool, samples, now, out);
+    return;
+  }
+  if (auto check = crash_checks_.find(m.call); check != crash_checks_.end()) {
+    const request_fingerprint fingerprint = check->second;
+    crash_checks_.erase(check);
+    if (m.samples.empty() ||
+        m.samples.front().result != probe_result::kUnreachable)
+      return;
+    crashes_.Count(fingerprint, now.steady);
+    Log(out, "server-crashed",
+        {{"server", m.samples.front().server.value()},
+         {"fingerprint", fmt::format("{:016x}", fingerprint.value())},
+         {"crashes", fmt::format("{}", crashes_.count(fingerprint))}});
+    out.emplace_back(crash_seen{fingerprint});
+    return;
   }
+  auto it = calls_.find(m.call);
+  if (it == calls_.end() || it->second.now_in != phase::kSampling)
+    return;
+  for (const load_sample& sample : m.samples)
+    it->second.samples[sample.server] = {sample, it->second.asked};
   Place(m.call, it->second, now, out);
 }
 
@@ -122,67 +156,92 @@
          cold_.TryTake(server.id, pool->second.cold_rate, now.steady);
 }
 
+std::uint32_t dispatcher::impl::SendsSince(const server_id& server,
+                                           time_point sampled) const {
+  auto sends = own_sends_.find(server);
+  if (sends == own_sends_.end())
+    return 0;
+  return static_cast<std::uint32_t>(
+      std::count_if(sends->second.begin(), sends->second.end(),
+                    [&](time_point t) { return t >= sampled; }));
+}
+
+candidate dispatcher::impl::MakeCandidate(
+    const catalog::backend_server& server,
+    const seen_sample& seen) const {
+  load_report unknown;
+  unknown.slots = server.slots;
+  candidate c{{server.id, server.address, ""},
+              seen.sample.load.value_or(unknown),
+              server.data_centre != settings_.data_centre};
+  c.load.running += SendsSince(server.id, seen.asked);
+  return c;
+}
+
+std::vector<candidate> dispatcher::impl::WarmCandidates(
+    const call_state& call,
+    const std::map<server_id, seen_sample>& samples,
+    const moment& now) {
+  std::vector<candidate> warm;
+  for (const catalog::backend_server* s : UsableServers(call, now)) {
+    auto seen = samples.find(s->id);
+    if (seen == samples.end() ||
+        !MayUse(call, seen->second.sample, *s, now, false))
+      continue;
+    candidate c = MakeCandidate(*s, seen->second);
+    if (HasFreeSlot(c.load))
+      warm.push_back(std::move(c));
+  }
+  return warm;
+}
+
+bool dispatcher::impl::TrySendCold(
+    request_id id,
+    call_state& call,
+    const std::map<server_id, seen_sample>& samples,
+    const moment& now,
+    effects& out) {
+  for (const catalog::backend_server* s : UsableServers(call, now)) {
+    auto seen = samples.find(s->id);
+    if (seen == samples.end())
+      continue;
+    const candidate c = MakeCandidate(*s, seen->second);
+    if (!HasFreeSlot(c.load) ||
+        !MayUse(call, seen->second.sample, *s, now, true))
+      continue;
+    Send(id, call, c, PredictAnswer(c.load, WorkOf(*call.route).value()), now,
+         out);
+    return true;
+  }
+  return false;
+}
+
 void dispatcher::impl::Place(request_id id,
                              call_state& call,
                              const moment& now,
                              effects& out) {
-  const std::vector<const catalog::backend_server*> usable =
-      UsableServers(call, now);
   const milliseconds work = WorkOf(*call.route).value();
-  std::vector<candidate> warm;
-  for (const catalog::backend_server* s : usable) {
-    auto sample = call.samples.find(s->id);
-    if (sample == call.samples.end() ||
-        !MayUse(call, sample->second, *s, now, false))
-      continue;
-    const auto pool = known_->config->pools.find(call.pool);
-    const std::string& health_path = pool->second.health_path;
-    load_report load;
-    load.slots = s->slots;
-    warm.push_back({{s->id, s->address, health_path},
-                    sample->second.load.value_or(load),
-                    s->data_centre != settings_.data_centre});
-  }
+  const std::vector<candidate> warm =
+      WarmCandidates(call, call.samples, now);
   const choice chosen = ChooseServer(warm, work);
-  const time_point target = call.arrived + call.route->target;
-  const auto left = target - now.steady;
-  const bool is_good =
-      chosen.best != nullptr && HasFreeSlot(chosen.best->load) &&
-      chosen.predicted <= left * kGoodPart;
-  if (is_good) {
+  const auto left = call.target_ends - now.steady;
+  if (chosen.best != nullptr && chosen.predicted <= left * kGoodPart) {
     Send(id, call, *chosen.best, chosen.predicted, now, out);
     return;
   }
+  const std::vector<const catalog::backend_server*> usable =
+      UsableServers(call, now);
   const bool has_more =
       std::any_of(usable.begin(), usable.end(),
                   [&](const catalog::backend_server* s) {
                     return !call.samples.contains(s->id);
                   });
-  if (has_more) {
+  if (has_more)
     StartSampling(id, call, now, out);
-    return;
-  }
-  if (chosen.best != nullptr &&
-      (HasFreeSlot(chosen.best->load) || chosen.predicted <= left)) {
+  else if (chosen.best != nullptr && chosen.predicted <= left)
     Send(id, call, *chosen.best, chosen.predicted, now, out);
-    return;
-  }
-  // Nothing warm has room: a cold server may take some.
-  for (const catalog::backend_server* s : usable) {
-    auto sample = call.samples.find(s->id);
-    if (sample == call.samples.end() || !sample->second.load ||
-        !HasFreeSlot(*sample->second.load) ||
-        !MayUse(call, sample->second, *s, now, true))
-      continue;
-    const candidate cold{{s->id, s->address, ""}, *sample->second.load, false};
-    Send(id, call, cold, PredictAnswer(cold.load, work), now, out);
-    return;
-  }
-  WaitOrReject(id, call,
-               chosen.best == nullptr
-                   ? std::nullopt
-                   : std::optional<milliseconds>(chosen.predicted),
-               now, out);
+  else if (!TrySendCold(id, call, call.samples, now, out))
+    Enqueue(id, call, now, out);
 }
 
 void dispatcher::impl::Send(request_id id,
@@ -207,6 +266,10 @@
   call.sent = now.steady;
   call.predicted = predicted;
   call.tried.insert(to.server.id);
+  std::deque<time_point>& sends = own_sends_[to.server.id];
+  while (!sends.empty() && sends.front() + kSampleLimit * 2 < now.steady)
+    sends.pop_front();
+  sends.push_back(now.steady);
   ++call.sends;
   Log(out, "placed",
       {{"request", call.caller_request},
@@ -224,26 +287,6 @@
   out.emplace_back(send_attempt{id, to.server, time_left, call.sends});
 }
 
-void dispatcher::impl::WaitOrReject(request_id id,
-                                    call_state& call,
-                                    std::optional<milliseconds> predicted,
-                                    const moment& now,
-                                    effects& out) {
-  const auto wait_ends =
-      call.arrived + std::chrono::duration_cast<time_point::duration>(
-                         call.route->target * kWaitPart);
-  if (now.steady + kWaitStep >= std::min(wait_ends, call.give_up)) {
-    Reject(id, call,
-           predicted ? reject_reason::kNoRoom : reject_reason::kNoServer, now,
-           out);
-    return;
-  }
-  call.now_in = phase::kWaiting;
-  call.retry_at = now.steady + kWaitStep;
-  call.samples.clear();
-  call.rounds = 1;
-}
-
 milliseconds dispatcher::impl::RetryAfter(const call_state& call,
                                           const moment& now) {
   // A slot is free after about one request's work; callers come back spread
--- a/packages/dispatch/src/server_health.cc
+++ b/packages/dispatch/src/server_health.cc
@@ -24,11 +24,6 @@
       std::max(e.avoided_until, now + std::min(pause, kLongestPause));
 }
 
-void server_health::Suspected(const server_id& server, time_point now) {
-  entry& e = entries_[server];
-  e.avoided_until = std::max(e.avoided_until, now + kFirstPause);
-}
-
 void server_health::Unreachable(const server_id& server, time_point now) {
   entry& e = entries_[server];
   e.avoided_until = std::max(e.avoided_until, now + kUnreachablePause);
--- a/packages/dispatch/src/server_health.h
+++ b/packages/dispatch/src/server_health.h
@@ -14,8 +14,6 @@
   // A failed attempt keeps requests away for a time that doubles with each
   // failure in a row.
   void Failed(const server_id& server, time_point now);
-  // Another host saw a failure: requests stay away for the shortest time.
-  void Suspected(const server_id& server, time_point now);
   // No connection; the server may be back any moment.
   void Unreachable(const server_id& server, time_point now);
   void Succeeded(const server_id& server);
--- /dev/null
+++ b/packages/dispatch/src/waiting.cc
@@ -0,0 +1,120 @@
+#include <algorithm>
+
+#include "dispatcher_impl.h"
+
+namespace dotterellead::dispatch {
+
+namespace {
+
+// Pause between two looks at the servers of a pool for which calls wait.
+constexpr milliseconds kRoundPause{15};
+// Servers asked in one round.
+constexpr std::size_t kRoundSample = 12;
+constexpr milliseconds kRoundLimit{60};
+// Part of a caller's patience after which a call that found no slot is turned
+// away, so that it may come back while an answer is still of use.
+constexpr double kHoldPart = 0.35;
+
+}  // namespace
+
+void dispatcher::impl::Enqueue(request_id id,
+                               call_state& call,
+                               const moment& now,
+                               effects& out) {
+  const auto patience = call.patience_ends - call.arrived;
+  call.hold_ends =
+      std::min(call.give_up,
+               call.arrived + std::chrono::duration_cast<time_point::duration>(
+                                  patience * kHoldPart));
+  if (now.steady >= call.hold_ends) {
+    Reject(id, call, reject_reason::kNoRoom, now, out);
+    return;
+  }
+  call.now_in = phase::kWaiting;
+  call.samples.clear();
+  pool_queue& queue = queues_[call.pool];
+  queue.calls.push_back(id);
+  if (!queue.round.is_valid() && queue.next_round < now.steady)
+    queue.next_round = now.steady + kRoundPause;
+}
+
+bool dispatcher::impl::IsLate(const call_state& call, const moment& now) {
+  return now.steady + WorkOf(*call.route).value() > call.target_ends;
+}
+
+std::vector<request_id> dispatcher::impl::InOrder(const pool_id& pool,
+                                                  const moment& now) {
+  struct entry {
+    bool is_late;
+    int priority;
+    time_point arrived;
+    request_id id;
+    auto operator<=>(const entry&) const = default;
+  };
+  std::vector<entry> entries;
+  for (const request_id id : queues_[pool].calls) {
+    auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.now_in != phase::kWaiting)
+      continue;
+    const call_state& call = it->second;
+    // Calls that can still meet their target go before those that cannot.
+    entries.push_back(
+        {IsLate(call, now), call.route->priority, call.arrived, id});
+  }
+  std::sort(entries.begin(), entries.end());
+  std::vector<request_id> ids;
+  for (const entry& e : entries)
+    ids.push_back(e.id);
+  return ids;
+}
+
+void dispatcher::impl::StartPoolRound(const pool_id& pool,
+                                      const moment& now,
+                                      effects& out) {
+  pool_queue& queue = queues_[pool];
+  queue.calls = InOrder(pool, now);
+  if (queue.calls.empty())
+    return;
+  // All that some waiting call may use.
+  std::set<const catalog::backend_server*> usable;
+  for (const request_id id : queue.calls)
+    for (const catalog::backend_server* s :
+         UsableServers(calls_.at(id), now))
+      usable.insert(s);
+  std::vector<const catalog::backend_server*> servers(usable.begin(),
+                                                      usable.end());
+  std::shuffle(servers.begin(), servers.end(), random_);
+  servers.resize(std::min(servers.size(), kRoundSample));
+  queue.next_round = now.steady + kRoundPause;
+  if (servers.empty())
+    return;
+  queue.round = NextRound();
+  queue.asked = now.steady;
+  rounds_[queue.round] = pool;
+  out.emplace_back(AskFor(queue.round, servers, kRoundLimit));
+}
+
+void dispatcher::impl::PlaceWaiting(
+    const pool_id& pool,
+    const std::map<server_id, seen_sample>& samples,
+    const moment& now,
+    effects& out) {
+  for (const request_id id : InOrder(pool, now)) {
+    call_state& call = calls_.at(id);
+    const std::vector<candidate> warm = WarmCandidates(call, samples, now);
+    const choice chosen = ChooseServer(warm, WorkOf(*call.route).value());
+    // Before its target a call waits for a server that meets it; after it,
+    // for any that answers in time.
+    const time_point wanted =
+        IsLate(call, now) ? call.give_up : call.target_ends;
+    if (chosen.best != nullptr && now.steady + chosen.predicted <= wanted)
+      Send(id, call, *chosen.best, chosen.predicted, now, out);
+    else
+      TrySendCold(id, call, samples, now, out);
+  }
+  pool_queue& queue = queues_[pool];
+  queue.calls = InOrder(pool, now);
+  queue.next_round = now.steady + kRoundPause;
+}
+
+}  // namespace dotterellead::dispatch
--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -88,13 +88,13 @@
 
 // ---- Messages between hosts
 
-// A server that failed a request, seen by `origin`.
-struct failure_event {
+// A server ended while it ran a request; seen by `origin`.
+struct crash_event {
   member_id origin;
   // Counts the events of one run of the origin.
   std::uint64_t number = 0;
   incarnation_id run;
-  server_id server;
+  request_fingerprint fingerprint;
 };
 
 struct sync_request {
@@ -103,7 +103,7 @@
   std::vector<host_info> below;
   std::array<log_offset, kStreams> have;
   moves::tallies tallies;
-  std::vector<failure_event> events;
+  std::vector<crash_event> events;
   std::uint64_t have_hosts = 0;
   std::uint64_t have_stages = 0;
   std::uint64_t have_events = 0;
@@ -125,7 +125,7 @@
   std::uint64_t hosts_version = 0;
   std::optional<std::vector<moves::stage>> stages;
   std::uint64_t stages_version = 0;
-  std::vector<failure_event> events;
+  std::vector<crash_event> events;
   std::uint64_t events_version = 0;
 };
 
@@ -152,7 +152,7 @@
   std::function<void(bool is_root)> role_changed;
   std::function<void(std::vector<moves::stage>)> stages_heard;
   std::function<void(moves::tallies)> tallies_heard;
-  std::function<void(server_id)> server_failed;
+  std::function<void(request_fingerprint)> crash_heard;
 };
 
 class fleet_duty {
@@ -169,7 +169,7 @@
   void PublishStages(std::vector<moves::stage> stages);
   // Counts for the host above.
   void PassTallies(moves::tallies counts);
-  void ReportFailure(server_id server);
+  void ReportCrash(request_fingerprint fingerprint);
 
  private:
   class impl;
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -82,26 +82,27 @@
   return hosts;
 }
 
-Value FromEvents(const std::vector<failure_event>& events) {
+Value FromEvents(const std::vector<crash_event>& events) {
   Value rows(Json::arrayValue);
-  for (const failure_event& e : events) {
+  for (const crash_event& e : events) {
     Value row(Json::arrayValue);
     row.append(e.origin.value());
     row.append(Number(e.run.value()));
     row.append(Number(e.number));
-    row.append(e.server.value());
+    row.append(Number(e.fingerprint.value()));
     rows.append(row);
   }
   return rows;
 }
 
-std::vector<failure_event> ToEvents(const Value& rows) {
-  std::vector<failure_event> events;
+std::vector<crash_event> ToEvents(const Value& rows) {
+  std::vector<crash_event> events;
   for (const Value& row : rows) {
     if (!row.isArray() || row.size() != 4)
       Fail("an event");
     events.push_back({member_id(Text(row[0])), Count(row[2]),
-                      incarnation_id(Count(row[1])), server_id(Text(row[3]))});
+                      incarnation_id(Count(row[1])),
+                      request_fingerprint(Count(row[3]))});
   }
   return events;
 }
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -27,7 +27,7 @@
 // Pause between two rounds of a root that looks for hosts above it.
 constexpr milliseconds kRootRound{1'000};
 constexpr milliseconds kSeedLimit{300};
-// Failures that are kept for hosts below.
+// Crashes that are kept for hosts below.
 constexpr std::size_t kKeptEvents = 64;
 constexpr milliseconds kLongestWait{5'000};
 constexpr std::uint64_t kMaxMessage = 8 << 20;
@@ -48,8 +48,8 @@
   return StableHash(text) & kHashBits;
 }
 
-struct failure_seen {
-  server_id server;
+struct crash_to_report {
+  request_fingerprint fingerprint;
 };
 struct tallies_to_pass {
   moves::tallies counts;
@@ -57,7 +57,7 @@
 using command = std::variant<news_batch,
                              std::vector<moves::stage>,
                              tallies_to_pass,
-                             failure_seen>;
+                             crash_to_report>;
 
 // A host that calls this one.
 struct host_below {
@@ -121,16 +121,16 @@
                             for (const auto& [key, tally] : t.counts)
                               tallies_[key].Add(tally);
                           },
-                          [this](failure_seen& seen) {
+                          [this](crash_to_report& seen) {
                             TakeEvent({settings_.self.name, ++own_events_,
-                                       settings_.run, seen.server},
+                                       settings_.run, seen.fingerprint},
                                       false);
                           }},
                c);
   }
 
   // Keeps an event for the hosts above and below, unless it is known.
-  void TakeEvent(const failure_event& event, bool is_from_above) {
+  void TakeEvent(const crash_event& event, bool is_from_above) {
     std::uint64_t& newest = newest_event_[{event.origin, event.run}];
     if (event.number <= newest)
       return;
@@ -144,13 +144,13 @@
     if (events_up_.size() > kKeptEvents)
       events_up_.erase(events_up_.begin());
     if (event.origin != settings_.self.name)
-      callbacks_.server_failed(event.server);
+      callbacks_.crash_heard(event.fingerprint);
     WakeWaiters();
   }
 
-  std::vector<failure_event> EventsSince(std::uint64_t seen) const {
+  std::vector<crash_event> EventsSince(std::uint64_t seen) const {
     // Another host above, or one that was restarted: it cannot tell which are
-    // new, and old failures are of no use.
+    // new, and old crashes are known to others.
     if (seen == 0 || seen >= events_version_)
       return {};
     const std::uint64_t count =
@@ -217,7 +217,7 @@
     below_[request.self.name] = {request.self, request.below, now};
     if (!request.tallies.empty())
       callbacks_.tallies_heard(request.tallies);
-    for (const failure_event& event : request.events)
+    for (const crash_event& event : request.events)
       TakeEvent(event, false);
     RefreshHosts();
   }
@@ -449,7 +449,7 @@
       callbacks_.stages_heard(*answer.stages);
     }
     seen_from_above_ = std::max<std::uint64_t>(answer.events_version, 1);
-    for (const failure_event& event : answer.events)
+    for (const crash_event& event : answer.events)
       TakeEvent(event, true);
   }
 
@@ -467,7 +467,7 @@
   news_board board_;
   std::vector<moves::stage> stages_;
   std::uint64_t stages_version_ = 0;
-  std::deque<failure_event> events_;
+  std::deque<crash_event> events_;
   std::uint64_t events_version_ = 1;
   std::uint64_t own_events_ = 0;
   std::map<std::pair<member_id, incarnation_id>, std::uint64_t> newest_event_;
@@ -485,7 +485,7 @@
   std::uint64_t stages_from_above_ = 0;
   std::uint64_t seen_from_above_ = 0;
   moves::tallies tallies_;
-  std::vector<failure_event> events_up_;
+  std::vector<crash_event> events_up_;
   std::thread thread_;
 };
 
@@ -510,8 +510,8 @@
 void fleet_duty::PassTallies(moves::tallies counts) {
   impl_->Push(tallies_to_pass{std::move(counts)});
 }
-void fleet_duty::ReportFailure(server_id server) {
-  impl_->Push(failure_seen{std::move(server)});
+void fleet_duty::ReportCrash(request_fingerprint fingerprint) {
+  impl_->Push(crash_to_report{fingerprint});
 }
 
 }  // namespace dotterellead::fleet
--- a/packages/traffic/src/callers.cc
+++ b/packages/traffic/src/callers.cc
@@ -31,6 +31,19 @@
   return std::nullopt;
 }
 
+// The same for requests with the same caller, method, target and body.
+request_fingerprint FingerprintOf(beast::tcp_stream& stream,
+                                  const request_message& request,
+                                  const request_target& target) {
+  error_code ignored;  // A caller that is gone is no caller to tell apart.
+  std::string text =
+      stream.socket().remote_endpoint(ignored).address().to_string();
+  text += ' ';
+  text += std::string(request.method_string());
+  text += ' ' + target.host + ' ' + target.path + ' ' + request.body();
+  return request_fingerprint(StableHash(text));
+}
+
 }  // namespace
 
 tcp::acceptor traffic_service::impl::Listen(const catalog::endpoint& address,
@@ -180,8 +193,7 @@
   if (patience != request->end())
     arrived.patience =
         ReadMillis({patience->value().data(), patience->value().size()});
-  arrived.fingerprint = request_fingerprint(
-      StableHash(target.host + ' ' + target.path + ' ' + request->body()));
+  arrived.fingerprint = FingerprintOf(*stream, *request, target);
   calls_[id] = call;
   open_calls_ = calls_.size();
   if (!post_(arrived)) {
