Compare versions within steps, mind the target's slots, wait for known outcomes

A restarted host took an order whose outcome it had not read for a new one. A fault of the stores' answers at 100% of the target was taken for one of the version, since only earlier answers of the old one were left to compare with. Change: the share stays in proportion where the target has less than 0.6 of the old slots; no step before the outcomes are known; comparison by steps, with a tenth of the traffic on the old version until the last one.

--- a/packages/catalog/include/dotterellead/catalog.h
+++ b/packages/catalog/include/dotterellead/catalog.h
@@ -134,6 +134,8 @@
   std::set<data_centre_id> closed_data_centres;
   std::map<pool_id, move_order> moves;
   std::map<pool_id, move_status> move_statuses;
+  // Whether move_statuses is complete; until then an order may be settled.
+  bool has_outcomes = false;
 };
 
 using snapshot_ptr = std::shared_ptr<const snapshot>;
--- a/packages/dispatch/src/version_filter.cc
+++ b/packages/dispatch/src/version_filter.cc
@@ -51,7 +51,7 @@
     rule.excluded = status->second.target;
   } else if (order != known.moves.end()) {
     rule.trial = order->second.target;
-    rule.trial_per_mille = trial_per_mille;
+    rule.trial_per_mille = known.has_outcomes ? trial_per_mille : 0;
   } else {
     const std::vector<version_id> versions = VersionsByAge(known, pool);
     if (versions.size() > 1)
--- a/packages/moves/include/dotterellead/moves.h
+++ b/packages/moves/include/dotterellead/moves.h
@@ -42,9 +42,16 @@
 
 using tallies = std::map<tally_key, version_tally>;
 
-// Whether the attempts on the target are worse than those on the old version,
-// beyond what chance explains.
-bool IsWorse(const version_tally& target, const version_tally& old);
+// Attempts on both versions in one step of a move, in which they shared the
+// same time and the same conditions.
+struct step_evidence {
+  version_tally target;
+  version_tally old;
+};
+
+// Whether the attempts on the target are worse than those on the old version in
+// the same steps, beyond what chance explains.
+bool IsWorse(const std::vector<step_evidence>& steps);
 
 // ---- Stages
 
@@ -141,13 +148,11 @@
     unix_millis begun_wall;
     time_point step_begun;
     time_point next_write;
-    // Counts of both versions over the whole move, and in this step.
-    std::map<catalog::route_name, version_tally> target_by_route;
-    std::map<catalog::route_name, version_tally> old_by_route;
-    version_tally target_in_step;
-    version_tally old_in_step;
-    version_tally target;
-    version_tally old;
+    // Evidence by step, over all routes and for each route.
+    std::vector<step_evidence> steps{1};
+    std::map<catalog::route_name, std::vector<step_evidence>> by_route;
+    // Over all steps.
+    step_evidence total;
   };
 
   void On(const catalog_changed& m, const moment& now, effects& out);
@@ -167,6 +172,14 @@
              const moment& now,
              effects& out);
   void Publish(const moment& now, effects& out);
+  // Slots of the pool's servers that may be used now, by version.
+  struct capacity {
+    std::uint32_t target = 0;
+    std::uint32_t old = 0;
+  };
+  capacity SlotsOf(const move_record& move) const;
+  // Largest share, per mille, that the target's slots bear.
+  std::uint32_t ShareThatFits(const move_record& move) const;
   // Part of the order's time that has passed.
   static double Progress(const move_record& move, const moment& now);
 
--- a/packages/moves/src/move_machine.cc
+++ b/packages/moves/src/move_machine.cc
@@ -28,38 +28,61 @@
 constexpr double kTrialExposure = 0.4;
 constexpr std::uint32_t kLeastTrial = 50;
 constexpr std::uint32_t kMostTrial = 400;
+// Last share at which the versions are compared; the rest is the control that
+// tells a fault of the version from one that hits both.
+constexpr std::uint32_t kLastCompared = 900;
 // Shares after the trial, each for a part of the order's time that shows a
 // fault under load.
-constexpr std::uint32_t kRamp[] = {300, 600, 1000};
-constexpr double kRampStep = 0.10;
+constexpr std::uint32_t kAll = 1000;
+constexpr std::uint32_t kRamp[] = {300, 600, kLastCompared, kAll};
+constexpr double kRampStep = 0.08;
 constexpr milliseconds kLeastRampStep{1'000};
 // Time with all traffic on the target before the move is done: longer than a
 // request lasts, so that none is left on an old server.
-constexpr milliseconds kFinalTime{2'600};
+constexpr milliseconds kFinalTime{1'600};
 // Between two requests to write one outcome.
 constexpr milliseconds kWriteInterval{700};
 constexpr milliseconds kDecideInterval{200};
-constexpr std::uint32_t kAll = 1000;
+// The target takes all traffic only if it has this part of the old version's
+// slots. Otherwise its share stays in proportion, with some room, since pools
+// are seldom full.
+constexpr double kLeastCapacity = 0.6;
+constexpr double kProportionRoom = 1.3;
+
+std::string Counts(const version_tally& tally) {
+  return fmt::format("{}/{}", tally.bad, tally.attempts);
+}
 
 }  // namespace
 
-bool IsWorse(const version_tally& target, const version_tally& old) {
-  if (target.bad < kLeastBad)
-    return false;
-  const double n1 = static_cast<double>(target.attempts);
-  const double n2 = static_cast<double>(std::max<std::uint64_t>(
-      old.attempts, 1));
-  const double p1 = static_cast<double>(target.bad) / n1;
-  const double p2 = static_cast<double>(old.bad) / n2;
-  if (p1 - p2 < kLeastDifference)
+bool IsWorse(const std::vector<step_evidence>& steps) {
+  step_evidence total;
+  for (const step_evidence& step : steps) {
+    total.target.Add(step.target);
+    total.old.Add(step.old);
+  }
+  if (total.target.bad < kLeastBad)
     return false;
-  // At least one bad answer in each group, so that a clean history does not
-  // make chance impossible.
-  const double pooled =
-      static_cast<double>(target.bad + old.bad + 1) / (n1 + n2 + 2);
-  const double deviation =
-      std::sqrt(pooled * (1 - pooled) * (1 / n1 + 1 / n2));
-  return p1 - p2 > kSignificance * deviation;
+  // What chance and the old version's share of bad answers let expect. Where
+  // a step has few answers of the old version, the other steps stand in; one
+  // bad answer more keeps a clean history from making chance impossible.
+  constexpr double kPrior = 8;
+  const double overall = (static_cast<double>(total.old.bad) + 1) /
+                         (static_cast<double>(total.old.attempts) + 2);
+  double expected = 0;
+  double variance = 0;
+  for (const step_evidence& step : steps) {
+    const double n1 = static_cast<double>(step.target.attempts);
+    const double n2 = static_cast<double>(step.old.attempts) + kPrior;
+    const double share =
+        (static_cast<double>(step.old.bad) + kPrior * overall) / n2;
+    expected += n1 * share;
+    variance += n1 * share * (1 - share) * (1 + n1 / n2);
+  }
+  const double excess = static_cast<double>(total.target.bad) - expected;
+  return excess > kLeastDifference *
+                      static_cast<double>(total.target.attempts) &&
+         excess > kSignificance * std::sqrt(variance);
 }
 
 void move_machine::Step(const message& m, const moment& now, effects& out) {
@@ -131,10 +154,10 @@
     if (it == moves_.end() || it->second.order.revision != key.order)
       continue;
     move_record& move = it->second;
-    (key.is_target ? move.target : move.old).Add(tally);
-    (key.is_target ? move.target_in_step : move.old_in_step).Add(tally);
-    (key.is_target ? move.target_by_route : move.old_by_route)[key.route].Add(
-        tally);
+    std::vector<step_evidence>& route = move.by_route[key.route];
+    route.resize(move.steps.size());
+    for (step_evidence* e : {&move.total, &move.steps.back(), &route.back()})
+      (key.is_target ? e->target : e->old).Add(tally);
   }
 }
 
@@ -176,7 +199,8 @@
 }
 
 void move_machine::On(const tick&, const moment& now, effects& out) {
-  if (!is_root_)
+  // Without the outcomes a move may be settled already.
+  if (!is_root_ || !known_ || !known_->has_outcomes)
     return;
   for (auto& [pool, move] : moves_)
     Decide(move, now, out);
@@ -190,30 +214,49 @@
   return static_cast<double>(passed.count()) / whole;
 }
 
+move_machine::capacity move_machine::SlotsOf(const move_record& move) const {
+  capacity slots;
+  for (const auto& [id, server] : known_->servers)
+    if (server.pool == move.order.pool && !server.is_leaving &&
+        !known_->closed_data_centres.contains(server.data_centre))
+      (server.version == move.order.target ? slots.target : slots.old) +=
+          server.slots;
+  return slots;
+}
+
+std::uint32_t move_machine::ShareThatFits(const move_record& move) const {
+  const capacity slots = SlotsOf(move);
+  const double target = slots.target;
+  const double old = slots.old;
+  if (target >= kLeastCapacity * old)
+    return kAll;
+  return static_cast<std::uint32_t>(kAll * kProportionRoom * target /
+                                    std::max(1.0, target + old));
+}
+
 std::string move_machine::FindFault(const move_record& move) const {
-  if (IsWorse(move.target, move.old))
+  if (IsWorse(move.steps))
     return "worse over the whole move";
-  if (IsWorse(move.target_in_step, move.old_in_step))
+  if (IsWorse({move.steps.back()}))
     return "worse in this step";
-  for (const auto& [route, tally] : move.target_by_route) {
-    const auto old = move.old_by_route.find(route);
-    if (IsWorse(tally, old == move.old_by_route.end() ? version_tally()
-                                                      : old->second))
+  for (const auto& [route, steps] : move.by_route)
+    if (IsWorse(steps))
       return "worse on route " + route.value();
-  }
   return {};
 }
 
 bool move_machine::HasEnough(const move_record& move) const {
-  if (move.target.attempts < kEnoughAttempts)
+  if (move.total.target.attempts < kEnoughAttempts)
     return false;
-  for (const auto& [route, tally] : move.old_by_route) {
+  for (const auto& [route, steps] : move.by_route) {
+    step_evidence sum;
+    for (const step_evidence& step : steps) {
+      sum.target.Add(step.target);
+      sum.old.Add(step.old);
+    }
     // A route with hardly any traffic cannot be waited for.
-    if (tally.attempts < kEnoughAttempts)
-      continue;
-    const auto target = move.target_by_route.find(route);
-    if (target == move.target_by_route.end() ||
-        target->second.attempts < kEnoughByRoute)
+    if (sum.old.attempts >= kEnoughAttempts &&
+        sum.target.attempts < kEnoughByRoute)
       return false;
   }
   return true;
@@ -223,8 +266,8 @@
 // the trial, at the traffic seen so far.
 std::uint32_t move_machine::TrialShare(const move_record& move,
                                        const moment& now) const {
-  const double seen = static_cast<double>(move.target.attempts +
-                                          move.old.attempts);
+  const double seen = static_cast<double>(move.total.target.attempts +
+                                          move.total.old.attempts);
   const double progress = std::max(0.02, Progress(move, now));
   constexpr double kLeastSeen = 20;
   if (seen < kLeastSeen)
@@ -251,7 +294,9 @@
   }
   if (move.current.state != move_state::kRunning)
     return;
-  const std::string fault = FindFault(move);
+  // With all traffic on the target nothing is left to compare it with.
+  const std::string fault =
+      move.current.per_mille < kAll ? FindFault(move) : std::string();
   if (!fault.empty()) {
     Enter(move, 0, move_state::kRolledBack, fault, now, out);
     return;
@@ -261,7 +306,7 @@
       now.steady - move.step_begun);
   if (move.current.per_mille < kRamp[0]) {
     const bool is_due = progress >= kTrialEnd && HasEnough(move);
-    if (is_due || (progress >= kTrialLatest && move.target.attempts > 0)) {
+    if (is_due || (progress >= kTrialLatest && move.total.target.attempts > 0)) {
       Enter(move, kRamp[0], move_state::kRunning, "trial passed", now, out);
       return;
     }
@@ -281,7 +326,8 @@
     const std::uint32_t* next =
         std::upper_bound(std::begin(kRamp), std::end(kRamp),
                          move.current.per_mille);
-    Enter(move, *next, move_state::kRunning, "no fault found", now, out);
+    if (*next <= ShareThatFits(move))
+      Enter(move, *next, move_state::kRunning, "no fault found", now, out);
     return;
   }
   if (in_step >= kFinalTime)
@@ -294,6 +340,7 @@
                          const std::string& reason,
                          const moment& now,
                          effects& out) {
+  const capacity slots = SlotsOf(move);
   constexpr std::string_view kStates[] = {"running", "completed",
                                           "rolled-back"};
   out.emplace_back(decision{
@@ -303,16 +350,16 @@
        {"state", std::string(kStates[static_cast<std::size_t>(state)])},
        {"per_mille", fmt::format("{}", per_mille)},
        {"reason", reason},
+       {"slots", fmt::format("{}/{}", slots.target, slots.old)},
        {"progress", fmt::format("{:.2f}", Progress(move, now))},
        {"target_bad",
-        fmt::format("{}/{}", move.target.bad, move.target.attempts)},
-       {"old_bad", fmt::format("{}/{}", move.old.bad, move.old.attempts)}}});
+        Counts(move.total.target)},
+       {"old_bad", Counts(move.total.old)}}});
   move.current.per_mille = per_mille;
   move.current.state = state;
   ++move.current.step;
   move.step_begun = now.steady;
-  move.target_in_step = {};
-  move.old_in_step = {};
+  move.steps.emplace_back();
   move.next_write = now.steady;
   is_changed_ = true;
 }
