Pass news up from hosts that reach the store; write verdicts in the root's place

Change: a host whose news is fresher than that above sends it up; a verdict that the root does not get written is written by another host, on condition that none stands yet.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kMovesRing = 256;
 // How often the root looks at moves under way.
 constexpr milliseconds kMovesTick{200};
+// Hosts that write a verdict in the root's place do so within this time.
+constexpr milliseconds kLongestStandInDelay{1'500};
 
 // Hands a message to a duty, which empties its ring without blocking.
 template <class Duty, class Message>
@@ -77,10 +79,14 @@
 }
 
 void entry_host::MakeMoves() {
+  moves::move_settings m;
+  m.expose_share = settings_.expose_share;
+  m.expose_slack = settings_.expose_slack;
+  m.stand_in_delay =
+      milliseconds(static_cast<std::int64_t>(
+          StableHash(settings_.host.value()) % kLongestStandInDelay.count()));
   moves_ = std::make_unique<duty<moves::move_machine>>(
-      "moves",
-      moves::move_machine({settings_.expose_share, settings_.expose_slack}),
-      clock_, kMovesTick,
+      "moves", moves::move_machine(m), clock_, kMovesTick,
       [this](moves::move_machine::effect& effect) { CarryOut(effect); },
       kMovesRing);
 }
--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -97,11 +97,21 @@
   request_fingerprint fingerprint;
 };
 
+// News of one stream as a message carries it.
+struct stream_news {
+  std::vector<news_item> items;
+  log_offset upto;
+  // Time since the stream was known to be complete; absent: never, or not told.
+  std::optional<milliseconds> age;
+};
+
 struct sync_request {
   host_info self;
   // Hosts below this one, without itself.
   std::vector<host_info> below;
   std::array<log_offset, kStreams> have;
+  // What this host read itself and the one above seems to lack.
+  std::array<stream_news, kStreams> news;
   moves::tallies tallies;
   std::vector<crash_event> events;
   std::uint64_t have_hosts = 0;
@@ -113,12 +123,6 @@
 
 struct sync_answer {
   host_info self;
-  struct stream_news {
-    std::vector<news_item> items;
-    log_offset upto;
-    // Time since the stream was known to be complete; absent: never.
-    std::optional<milliseconds> age;
-  };
   std::array<stream_news, kStreams> news;
   // Absent if unchanged.
   std::optional<std::vector<host_info>> hosts;
@@ -146,7 +150,7 @@
 
 // What the duty tells the rest of the host, on its thread. Must not block.
 struct fleet_callbacks {
-  // News from the host above.
+  // News from another host.
   std::function<void(news_batch)> news_heard;
   std::function<void(std::vector<member_id>)> hosts_changed;
   std::function<void(bool is_root)> role_changed;
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -172,6 +172,59 @@
   return stages;
 }
 
+Value FromNews(const std::array<stream_news, kStreams>& news) {
+  Value rows(Json::arrayValue);
+  for (const stream_news& part : news) {
+    Value json(Json::objectValue);
+    for (const news_item& item : part.items) {
+      Value row(Json::arrayValue);
+      row.append(item.key);
+      row.append(FromOffset(item.position));
+      if (item.value)
+        row.append(*item.value);
+      json["items"].append(row);
+    }
+    if (part.upto.is_valid())
+      json["upto"] = FromOffset(part.upto);
+    if (part.age)
+      json["age"] = Number(static_cast<std::uint64_t>(part.age->count()));
+    rows.append(json);
+  }
+  return rows;
+}
+
+std::array<stream_news, kStreams> ToNews(const Value& rows) {
+  std::array<stream_news, kStreams> news;
+  if (rows.isNull())
+    return news;
+  if (rows.size() != kStreams)
+    Fail("its news");
+  for (Json::ArrayIndex i = 0; i < kStreams; ++i) {
+    const Value& json = rows[i];
+    stream_news& part = news[i];
+    for (const Value& row : json["items"]) {
+      if (!row.isArray() || row.size() < 2)
+        Fail("an item of news");
+      news_item item;
+      item.source = kAllStreams[i];
+      item.key = Text(row[0]);
+      item.position = ToOffset(row[1]);
+      if (row.size() > 2)
+        item.value = Text(row[2]);
+      part.items.push_back(std::move(item));
+    }
+    part.upto = ToOffset(json["upto"]);
+    if (!json["age"].isNull())
+      part.age = milliseconds(static_cast<std::int64_t>(Count(json["age"])));
+  }
+  return news;
+}
+
+bool IsEmpty(const std::array<stream_news, kStreams>& news) {
+  return std::none_of(news.begin(), news.end(),
+                      [](const stream_news& part) { return part.age; });
+}
+
 }  // namespace
 
 std::string EncodeRequest(const sync_request& request) {
@@ -181,6 +234,8 @@
     json["below"] = FromHosts(request.below);
   for (const log_offset offset : request.have)
     json["have"].append(FromOffset(offset));
+  if (!IsEmpty(request.news))
+    json["news"] = FromNews(request.news);
   if (!request.tallies.empty())
     json["tallies"] = FromTallies(request.tallies);
   if (!request.events.empty())
@@ -201,6 +256,7 @@
     Fail("its positions");
   for (Json::ArrayIndex i = 0; i < kStreams; ++i)
     request.have[i] = ToOffset(json["have"][i]);
+  request.news = ToNews(json["news"]);
   request.tallies = ToTallies(json["tallies"]);
   request.events = ToEvents(json["events"]);
   request.have_hosts = Count(json["hosts"]);
@@ -213,21 +269,7 @@
 std::string EncodeAnswer(const sync_answer& answer) {
   Value json(Json::objectValue);
   json["self"] = FromHost(answer.self);
-  for (const auto& part : answer.news) {
-    Value news(Json::objectValue);
-    for (const news_item& item : part.items) {
-      Value row(Json::arrayValue);
-      row.append(item.key);
-      row.append(FromOffset(item.position));
-      if (item.value)
-        row.append(*item.value);
-      news["items"].append(row);
-    }
-    news["upto"] = FromOffset(part.upto);
-    if (part.age)
-      news["age"] = Number(static_cast<std::uint64_t>(part.age->count()));
-    json["news"].append(news);
-  }
+  json["news"] = FromNews(answer.news);
   if (answer.hosts)
     json["hosts"] = FromHosts(*answer.hosts);
   json["hosts_version"] = Number(answer.hosts_version);
@@ -244,26 +286,7 @@
   const Value json = Parse(text);
   sync_answer answer;
   answer.self = ToHost(json["self"]);
-  if (json["news"].size() != kStreams)
-    Fail("its news");
-  for (Json::ArrayIndex i = 0; i < kStreams; ++i) {
-    const Value& news = json["news"][i];
-    auto& part = answer.news[i];
-    for (const Value& row : news["items"]) {
-      if (!row.isArray() || row.size() < 2)
-        Fail("an item of news");
-      news_item item;
-      item.source = kAllStreams[i];
-      item.key = Text(row[0]);
-      item.position = ToOffset(row[1]);
-      if (row.size() > 2)
-        item.value = Text(row[2]);
-      part.items.push_back(std::move(item));
-    }
-    part.upto = ToOffset(news["upto"]);
-    if (!news["age"].isNull())
-      part.age = milliseconds(static_cast<std::int64_t>(Count(news["age"])));
-  }
+  answer.news = ToNews(json["news"]);
   if (!json["hosts"].isNull())
     answer.hosts = ToHosts(json["hosts"]);
   answer.hosts_version = Count(json["hosts_version"]);
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -26,6 +26,9 @@
 constexpr milliseconds kFailedPause{2'000};
 // Pause between two rounds of a root that looks for hosts above it.
 constexpr milliseconds kRootRound{1'000};
+// News that is younger by this much than what the host above has goes up: the
+// host above may be cut off from the store.
+constexpr milliseconds kFresher{500};
 constexpr milliseconds kSeedLimit{300};
 // Crashes that are kept for hosts below.
 constexpr std::size_t kKeptEvents = 64;
@@ -215,6 +218,7 @@
   void TakeFromBelow(const sync_request& request) {
     const time_point now = std::chrono::steady_clock::now();
     below_[request.self.name] = {request.self, request.below, now};
+    TakeNews(request.news);
     if (!request.tallies.empty())
       callbacks_.tallies_heard(request.tallies);
     for (const crash_event& event : request.events)
@@ -251,14 +255,8 @@
     sync_answer answer;
     answer.self = settings_.self;
     const time_point now = std::chrono::steady_clock::now();
-    for (std::size_t i = 0; i < kStreams; ++i) {
-      auto& part = answer.news[i];
-      part.items = board_.Since(kAllStreams[i], request.have[i]);
-      part.upto = board_.upto(kAllStreams[i]);
-      if (board_.checked(kAllStreams[i]) != time_point())
-        part.age = std::chrono::duration_cast<milliseconds>(
-            now - board_.checked(kAllStreams[i]));
-    }
+    for (std::size_t i = 0; i < kStreams; ++i)
+      answer.news[i] = NewsSince(kAllStreams[i], request.have[i], now);
     if (request.have_hosts != hosts_version_)
       answer.hosts = hosts_;
     answer.hosts_version = hosts_version_;
@@ -270,6 +268,28 @@
     return answer;
   }
 
+  stream_news NewsSince(stream source, log_offset have, time_point now) const {
+    stream_news news{board_.Since(source, have), board_.upto(source), {}};
+    if (board_.checked(source) != time_point())
+      news.age = std::chrono::duration_cast<milliseconds>(
+          now - board_.checked(source));
+    return news;
+  }
+
+  void TakeNews(const std::array<stream_news, kStreams>& news) {
+    const time_point now = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      const stream_news& part = news[i];
+      if (!part.age)
+        continue;
+      news_batch batch{kAllStreams[i], part.items, part.upto,
+                       now - *part.age};
+      if (!board_.Apply(batch).empty())
+        WakeWaiters();
+      callbacks_.news_heard(std::move(batch));
+    }
+  }
+
   // Hosts below this one that called lately, with those below them.
   std::vector<host_info> LiveBelow() {
     const time_point now = std::chrono::steady_clock::now();
@@ -347,6 +367,8 @@
       if (!link_ || !(host == link_host_)) {
         link_ = std::make_unique<http_link>(io_, host.address);
         link_host_ = host;
+        above_checked_.fill(std::chrono::steady_clock::now());
+        above_upto_.fill(log_offset());
         seen_from_above_ = 0;
         hosts_from_above_ = 0;
         stages_from_above_ = 0;
@@ -402,6 +424,10 @@
     request.below = LiveBelow();
     for (std::size_t i = 0; i < kStreams; ++i)
       request.have[i] = board_.upto(kAllStreams[i]);
+    const time_point now = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < kStreams; ++i)
+      if (board_.checked(kAllStreams[i]) > above_checked_[i] + kFresher)
+        request.news[i] = NewsSince(kAllStreams[i], above_upto_[i], now);
     request.tallies = std::exchange(tallies_, {});
     request.events = std::exchange(events_up_, {});
     request.have_hosts = hosts_from_above_;
@@ -431,15 +457,11 @@
   void TakeFromAbove(const sync_answer& answer) {
     const time_point now = std::chrono::steady_clock::now();
     for (std::size_t i = 0; i < kStreams; ++i) {
-      const auto& part = answer.news[i];
-      if (!part.age)
-        continue;
-      news_batch batch{kAllStreams[i], part.items, part.upto,
-                       now - *part.age};
-      if (!board_.Apply(batch).empty())
-        WakeWaiters();
-      callbacks_.news_heard(std::move(batch));
+      above_upto_[i] = answer.news[i].upto;
+      above_checked_[i] = answer.news[i].age ? now - *answer.news[i].age
+                                             : time_point();
     }
+    TakeNews(answer.news);
     if (answer.hosts) {
       hosts_from_above_ = answer.hosts_version;
       SetHosts(*answer.hosts);
@@ -481,6 +503,9 @@
   std::unique_ptr<http_link> link_;
   host_info link_host_;
   std::map<member_id, time_point> failed_;
+  // What the host above knew when it last answered.
+  std::array<log_offset, kStreams> above_upto_;
+  std::array<time_point, kStreams> above_checked_{};
   std::uint64_t hosts_from_above_ = 0;
   std::uint64_t stages_from_above_ = 0;
   std::uint64_t seen_from_above_ = 0;
--- a/packages/moves/include/dotterellead/moves.h
+++ b/packages/moves/include/dotterellead/moves.h
@@ -121,6 +121,9 @@
   // Share of all requests, and number beyond it, that a bad version may get.
   double expose_share = 0.1;
   double expose_slack = 50;
+  // How much later than the root this host writes a verdict that the root does
+  // not get written; differs between hosts, so that one comes first.
+  milliseconds stand_in_delay{0};
 };
 
 class move_machine {
@@ -141,6 +144,11 @@
  private:
   using effects = std::vector<effect>;
 
+  struct move_state_heard {
+    catalog::move_state state = catalog::move_state::kRunning;
+    time_point at;
+  };
+
   struct move_record {
     catalog::move_order order;
     stage current;
@@ -148,6 +156,8 @@
     unix_millis begun_wall;
     time_point step_begun;
     time_point next_write;
+    // The root's verdict, which others write if it cannot.
+    move_state_heard heard;
     // Evidence by step, over all routes and for each route.
     std::vector<step_evidence> steps{1};
     std::map<catalog::route_name, std::vector<step_evidence>> by_route;
@@ -161,6 +171,11 @@
   void On(const stages_heard& m, const moment& now, effects& out);
   void On(const tick& m, const moment& now, effects& out);
 
+  // Asks for the outcome to be written unless the catalog shows it.
+  void WriteOutcome(move_record& move,
+                    catalog::move_state state,
+                    const moment& now,
+                    effects& out);
   void Decide(move_record& move, const moment& now, effects& out);
   std::string FindFault(const move_record& move) const;
   bool HasEnough(const move_record& move) const;
--- a/packages/moves/src/move_machine.cc
+++ b/packages/moves/src/move_machine.cc
@@ -42,7 +42,8 @@
 constexpr milliseconds kFinalTime{1'600};
 // Between two requests to write one outcome.
 constexpr milliseconds kWriteInterval{700};
-constexpr milliseconds kDecideInterval{200};
+// Time that the root has to write its verdict before other hosts do.
+constexpr milliseconds kRootWrites{1'200};
 // The target takes all traffic only if it has this part of the old version's
 // slots. Otherwise its share stays in proportion, with some room, since pools
 // are seldom full.
@@ -92,7 +93,11 @@
 }
 
 std::optional<time_point> move_machine::NextDeadline() const {
-  if (!is_root_ || moves_.empty())
+  const bool has_work =
+      std::any_of(moves_.begin(), moves_.end(), [&](const auto& entry) {
+        return is_root_ || entry.second.heard.state != move_state::kRunning;
+      });
+  if (!has_work)
     return std::nullopt;
   // The duty's tick interval bounds how often this is.
   return time_point::min();
@@ -187,11 +192,13 @@
     if (is_settled || (heard.step == move.current.step &&
                        heard.per_mille == move.current.per_mille))
       continue;
-    const bool is_verdict = heard.state != move_state::kRunning;
+    if (heard.state != move_state::kRunning &&
+        move.heard.state != heard.state)
+      move.heard = {heard.state, now.steady};
     move.current.per_mille = heard.per_mille;
     move.current.step = heard.step;
     // A rollback holds at once; completion only once the store shows it.
-    if (is_verdict && heard.state == move_state::kRolledBack)
+    if (heard.state == move_state::kRolledBack)
       move.current.state = heard.state;
     move.step_begun = now.steady;
     is_changed_ = true;
@@ -200,10 +207,16 @@
 
 void move_machine::On(const tick&, const moment& now, effects& out) {
   // Without the outcomes a move may be settled already.
-  if (!is_root_ || !known_ || !known_->has_outcomes)
+  if (!known_ || !known_->has_outcomes)
     return;
-  for (auto& [pool, move] : moves_)
-    Decide(move, now, out);
+  for (auto& [pool, move] : moves_) {
+    if (is_root_)
+      Decide(move, now, out);
+    else if (move.heard.state != move_state::kRunning &&
+             now.steady >=
+                 move.heard.at + kRootWrites + settings_.stand_in_delay)
+      WriteOutcome(move, move.heard.state, now, out);
+  }
 }
 
 double move_machine::Progress(const move_record& move, const moment& now) {
@@ -280,18 +293,25 @@
   return std::clamp(per_mille, kLeastTrial, kMostTrial);
 }
 
-void move_machine::Decide(move_record& move, const moment& now, effects& out) {
+void move_machine::WriteOutcome(move_record& move,
+                                move_state state,
+                                const moment& now,
+                                effects& out) {
   auto status = known_->move_statuses.find(move.order.pool);
   const bool is_written = status != known_->move_statuses.end() &&
                           status->second.revision == move.order.revision &&
-                          status->second.state == move.current.state;
-  if (!is_written && now.steady >= move.next_write) {
-    move.next_write = now.steady + kWriteInterval;
-    out.emplace_back(
-        write_status{move.order.pool,
-                     {move.order.target, move.current.state,
-                      move.order.revision, move.begun_wall}});
-  }
+                          (status->second.state == state ||
+                           status->second.state != move_state::kRunning);
+  if (is_written || now.steady < move.next_write)
+    return;
+  move.next_write = now.steady + kWriteInterval;
+  out.emplace_back(write_status{
+      move.order.pool,
+      {move.order.target, state, move.order.revision, move.begun_wall}});
+}
+
+void move_machine::Decide(move_record& move, const moment& now, effects& out) {
+  WriteOutcome(move, move.current.state, now, out);
   if (move.current.state != move_state::kRunning)
     return;
   // With all traffic on the target nothing is left to compare it with.
