--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -44,10 +44,12 @@
 
 std::vector<request_id> dispatcher::impl::InOrder(const pool_id& pool,
                                                   const moment& now) {
+  // Of calls alike, the newest goes first: when there is not room for all, it
+  // is the one that can still meet its target, and the others are told early.
   struct entry {
     bool is_late;
     int priority;
-    time_point arrived;
+    time_point::duration age;
     request_id id;
     auto operator<=>(const entry&) const = default;
   };
@@ -59,7 +61,8 @@
     const call_state& call = it->second;
     // Calls that can still meet their target go before those that cannot.
     entries.push_back(
-        {IsLate(call, now), call.route->priority, call.arrived, id});
+        {IsLate(call, now), call.route->priority, now.steady - call.arrived,
+         id});
   }
   std::sort(entries.begin(), entries.end());
   std::vector<request_id> ids;
--- /dev/null
+++ b/packages/fleet/tests/fleet_test.cc
@@ -0,0 +1,209 @@
+#include "dotterellead/fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+using namespace dotterellead;
+using namespace dotterellead::fleet;
+
+namespace {
+
+news_item Item(const std::string& key, const char* value, std::uint64_t at) {
+  return {stream::kServers, key,
+          value == nullptr ? std::nullopt : std::optional<std::string>(value),
+          log_offset(at)};
+}
+
+host_info Host(const std::string& name, const std::string& dc, int port) {
+  return {member_id(name), data_centre_id(dc),
+          {0x7f000001, static_cast<std::uint16_t>(port)}};
+}
+
+// One host of a fleet on loopback, with what it heard.
+struct fleet_host {
+  fleet_host(const std::string& name,
+             const std::string& dc,
+             int port,
+             std::vector<catalog::endpoint> seeds) {
+    fleet_settings settings{Host(name, dc, port), incarnation_id(1),
+                            std::move(seeds)};
+    fleet_callbacks callbacks;
+    callbacks.news_heard = [this](news_batch b) {
+      std::lock_guard lock(mutex);
+      for (const news_item& item : b.items)
+        heard[item.key] = item.value.value_or("");
+    };
+    callbacks.hosts_changed = [this](std::vector<member_id> live) {
+      live_count = live.size();
+    };
+    callbacks.role_changed = [this](bool root) { is_root = root; };
+    callbacks.stages_heard = [this](std::vector<moves::stage> s) {
+      stage_count = s.size();
+    };
+    callbacks.tallies_heard = [this](moves::tallies t) {
+      for (const auto& [key, tally] : t)
+        attempts += tally.attempts;
+    };
+    callbacks.crash_heard = [this](request_fingerprint f) {
+      crash = f.value();
+    };
+    duty = std::make_unique<fleet_duty>(settings, std::move(callbacks));
+    duty->Start();
+  }
+  std::string Heard(const std::string& key) {
+    std::lock_guard lock(mutex);
+    auto it = heard.find(key);
+    return it == heard.end() ? "" : it->second;
+  }
+
+  std::mutex mutex;
+  std::map<std::string, std::string> heard;
+  std::atomic<std::size_t> live_count = 0;
+  std::atomic<std::size_t> stage_count = 0;
+  std::atomic<std::uint64_t> attempts = 0;
+  std::atomic<std::uint64_t> crash = 0;
+  std::atomic<bool> is_root = false;
+  std::unique_ptr<fleet_duty> duty;
+};
+
+template <class Condition>
+bool Within(milliseconds limit, Condition holds) {
+  const time_point ends = std::chrono::steady_clock::now() + limit;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > ends)
+      return false;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return true;
+}
+
+constexpr milliseconds kPatience{8'000};
+
+}  // namespace
+
+TEST_CASE("the board keeps the newest item of each key and its removal") {
+  news_board board;
+  CHECK(board.Apply({stream::kServers, {Item("a", "1", 5)}, log_offset(6), {}})
+            .size() == 1);
+  // An older item that a lagging reader brings.
+  CHECK(board.Apply({stream::kServers, {Item("a", "0", 3)}, log_offset(4), {}})
+            .empty());
+  board.Apply({stream::kServers, {Item("a", nullptr, 9)}, log_offset(10), {}});
+  const auto items = board.Since(stream::kServers, log_offset(6));
+  REQUIRE(items.size() == 1);
+  CHECK_FALSE(items[0].value);
+  CHECK(board.upto(stream::kServers) == log_offset(10));
+  CHECK(board.Since(stream::kServers, log_offset(10)).empty());
+  CHECK(board.Since(stream::kOperators, log_offset()).empty());
+}
+
+TEST_CASE("hosts above are those before it, its own data centre first") {
+  const std::vector<host_info> all = {Host("c", "z1", 1), Host("a", "z2", 2),
+                                      Host("b", "z2", 3), Host("d", "z2", 4),
+                                      Host("e", "z3", 5)};
+  const auto above = HostsAbove(all[3], all);
+  REQUIRE(above.size() == 3);
+  CHECK(above[0].name.value() == "a");
+  CHECK(above[1].name.value() == "b");
+  CHECK(above[2].name.value() == "c");
+  CHECK(HostsAbove(all[0], all).empty());
+}
+
+TEST_CASE("messages come back as they were sent") {
+  sync_request request;
+  request.self = Host("a", "z", 1);
+  request.below = {Host("b", "z", 2)};
+  request.have = {log_offset(), log_offset(3), log_offset(0)};
+  request.news[1] = {{Item("k", "v\n\x01", 4), Item("gone", nullptr, 5)},
+                     log_offset(6),
+                     milliseconds(12)};
+  request.tallies[{pool_id("p"), log_offset(9), true,
+                   catalog::route_name("r")}] = {10, 3};
+  request.events = {{member_id("x"), 4, incarnation_id(77),
+                     request_fingerprint(0xfedcba9876543210)}};
+  request.wait = milliseconds(400);
+  const sync_request got = DecodeRequest(EncodeRequest(request));
+  CHECK(got.self == request.self);
+  CHECK(got.below == request.below);
+  CHECK(got.have == request.have);
+  REQUIRE(got.news[1].items.size() == 2);
+  CHECK(got.news[1].items[0].value == request.news[1].items[0].value);
+  CHECK_FALSE(got.news[1].items[1].value);
+  CHECK(got.news[1].age == milliseconds(12));
+  CHECK(got.tallies == request.tallies);
+  CHECK(got.events[0].fingerprint == request.events[0].fingerprint);
+
+  sync_answer answer;
+  answer.self = request.self;
+  moves::stage s;
+  s.pool = pool_id("p");
+  s.target = version_id("v2");
+  s.order = log_offset(9);
+  s.per_mille = 300;
+  s.state = catalog::move_state::kRolledBack;
+  s.age = milliseconds(1'234);
+  s.step = 3;
+  answer.stages = {s};
+  answer.hosts = request.below;
+  const sync_answer back = DecodeAnswer(EncodeAnswer(answer));
+  CHECK(back.stages == answer.stages);
+  CHECK(back.hosts == answer.hosts);
+}
+
+TEST_CASE("malformed messages are rejected, not taken in part") {
+  for (const char* bad :
+       {"", "[]", "{}", R"({"self":["a","z"]})",
+        R"({"self":["a","z","127.0.0.1:1"],"have":[1]})",
+        R"({"self":["a","z","127.0.0.1:1"],"have":[1,2,-3]})",
+        R"({"self":["a","z","127.0.0.1:1"],"have":[1,2,3],"events":[[1]]})"})
+    CHECK_THROWS_AS(DecodeRequest(bad), protocol_error);
+  CHECK_THROWS_AS(DecodeAnswer("{}"), protocol_error);
+}
+
+TEST_CASE("news flows down and up, counts up, stages and crashes to all") {
+  const std::vector<catalog::endpoint> seeds = {{0x7f000001, 23401},
+                                                {0x7f000001, 23403}};
+  fleet_host root("a1", "a", 23401, seeds);
+  fleet_host near("a2", "a", 23402, seeds);
+  fleet_host far("b1", "b", 23403, seeds);
+  fleet_host leaf("b2", "b", 23404, seeds);
+  CHECK(Within(kPatience, [&] { return leaf.live_count == 4; }));
+  CHECK(Within(kPatience, [&] { return root.is_root.load(); }));
+  CHECK_FALSE(leaf.is_root);
+
+  root.duty->Publish({stream::kServers, {Item("s", "1", 1)}, log_offset(2),
+                      std::chrono::steady_clock::now()});
+  CHECK(Within(kPatience, [&] { return leaf.Heard("s") == "1"; }));
+  // A leaf that alone reaches the store.
+  std::this_thread::sleep_for(milliseconds(700));
+  leaf.duty->Publish({stream::kServers, {Item("t", "2", 2)}, log_offset(3),
+                      std::chrono::steady_clock::now()});
+  CHECK(Within(kPatience, [&] { return root.Heard("t") == "2"; }));
+  CHECK(Within(kPatience, [&] { return near.Heard("t") == "2"; }));
+
+  moves::tallies counts;
+  counts[{pool_id("p"), log_offset(1), true, catalog::route_name("r")}] = {5, 0};
+  near.duty->PassTallies(counts);
+  CHECK(Within(kPatience, [&] { return root.attempts == 5; }));
+  root.duty->PublishStages({moves::stage{}});
+  CHECK(Within(kPatience, [&] { return far.stage_count == 1; }));
+  leaf.duty->ReportCrash(request_fingerprint(42));
+  CHECK(Within(kPatience, [&] { return near.crash == 42; }));
+}
+
+TEST_CASE("when the root ends, the next host takes its place") {
+  const std::vector<catalog::endpoint> seeds = {{0x7f000001, 23411}};
+  auto root = std::make_unique<fleet_host>("a1", "a", 23411, seeds);
+  fleet_host second("a2", "a", 23412, seeds);
+  fleet_host third("b1", "b", 23413, seeds);
+  CHECK(Within(kPatience, [&] { return third.live_count == 3; }));
+  root.reset();
+  CHECK(Within(kPatience, [&] { return second.is_root.load(); }));
+  CHECK(Within(kPatience, [&] { return third.live_count == 2; }));
+  second.duty->Publish({stream::kServers, {Item("s", "1", 1)}, log_offset(2),
+                        std::chrono::steady_clock::now()});
+  CHECK(Within(kPatience, [&] { return third.Heard("s") == "1"; }));
+}
--- /dev/null
+++ b/packages/moves/tests/moves_test.cc
@@ -0,0 +1,186 @@
+#include "dotterellead/moves.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace dotterellead;
+using namespace dotterellead::moves;
+
+namespace {
+
+constexpr milliseconds kTick{200};
+const pool_id kPool("pool");
+const version_id kNew("v2");
+const version_id kOld("v1");
+
+// A pool with servers of two versions and one order, driven by hand.
+class move_world {
+ public:
+  move_world(int new_servers, int old_servers, bool has_outcomes = true) {
+    auto known = std::make_shared<catalog::snapshot>();
+    Add(*known, kNew, new_servers);
+    Add(*known, kOld, old_servers);
+    known->has_outcomes = has_outcomes;
+    catalog::move_order order;
+    order.pool = kPool;
+    order.target = kNew;
+    order.duration = milliseconds(16'000);
+    order.revision = log_offset(7);
+    known->moves[kPool] = order;
+    known_ = known;
+    Step(role_changed{true});
+    Step(catalog_changed{known_});
+  }
+
+  void Step(const move_machine::message& m) {
+    std::vector<move_machine::effect> out;
+    machine_.Step(m, now_, out);
+    for (move_machine::effect& e : out) {
+      if (auto* changed = std::get_if<stages_changed>(&e))
+        stages = changed->stages;
+      if (auto* write = std::get_if<write_status>(&e))
+        written.push_back(write->status.state);
+    }
+  }
+
+  // One tick with `requests` requests, of which the target fails a share.
+  void Tick(int requests, double target_fails, double old_fails) {
+    tallies counts;
+    for (int i = 0; i < requests; ++i) {
+      const bool is_target = draw_(random_) * 1000 < share();
+      const bool is_bad = draw_(random_) < (is_target ? target_fails : old_fails);
+      counts[{kPool, log_offset(7), is_target, catalog::route_name("r")}].Add(
+          {1, is_bad ? 1U : 0U});
+      to_target += is_target ? 1 : 0;
+      bad += is_target && is_bad ? 1 : 0;
+    }
+    Step(tallies_counted{counts});
+    now_.steady += kTick;
+    now_.wall.value += kTick.count();
+    Step(tick{});
+  }
+
+  std::uint32_t share() const {
+    return stages.empty() ? 0 : stages.front().per_mille;
+  }
+  catalog::move_state state() const { return stages.front().state; }
+
+  std::vector<stage> stages;
+  std::vector<catalog::move_state> written;
+  int to_target = 0;
+  int bad = 0;
+
+ private:
+  static void Add(catalog::snapshot& known, const version_id& v, int count) {
+    for (int i = 0; i < count; ++i) {
+      catalog::backend_server s;
+      s.id = server_id(v.value() + std::to_string(i));
+      s.pool = kPool;
+      s.version = v;
+      s.slots = 2;
+      known.servers[s.id] = s;
+    }
+  }
+
+  std::minstd_rand random_{5};
+  std::uniform_real_distribution<double> draw_{0, 1};
+  moment now_{time_point(std::chrono::hours(1)), {1'000'000}};
+  catalog::snapshot_ptr known_;
+  move_machine machine_{move_settings{}};
+};
+
+constexpr int kTicks = 80;  // 16 s
+
+}  // namespace
+
+TEST_CASE("a good version gets all traffic and completes before its deadline") {
+  move_world w(20, 20);
+  for (int i = 0; i < kTicks && w.state() == catalog::move_state::kRunning; ++i)
+    w.Tick(10, 0.02, 0.02);
+  CHECK(w.state() == catalog::move_state::kCompleted);
+  CHECK(w.share() == 1000);
+  for (int i = 0; i < 5; ++i)
+    w.Tick(10, 0.02, 0.02);
+  CHECK(w.written.back() == catalog::move_state::kCompleted);
+}
+
+TEST_CASE("a version that fails half of its requests is rolled back early") {
+  move_world w(20, 20);
+  for (int i = 0; i < kTicks && w.state() == catalog::move_state::kRunning; ++i)
+    w.Tick(10, 0.5, 0.02);
+  CHECK(w.state() == catalog::move_state::kRolledBack);
+  CHECK(w.share() == 0);
+  // The operators' bound on exposure: a tenth of all requests and 50.
+  CHECK(w.to_target < 10 * kTicks / 10 + 50);
+  CHECK(w.bad < 50);
+}
+
+TEST_CASE("a version that turns bad under load stays within the exposure") {
+  move_world w(20, 20);
+  for (int i = 0; i < kTicks && w.state() == catalog::move_state::kRunning; ++i)
+    w.Tick(10, w.share() >= 300 ? 0.5 : 0.02, 0.02);
+  CHECK(w.state() == catalog::move_state::kRolledBack);
+  CHECK(w.to_target < 10 * kTicks / 10 + 50);
+}
+
+TEST_CASE("a fault that hits both versions rolls nothing back") {
+  move_world w(20, 20);
+  for (int i = 0; i < kTicks && w.state() == catalog::move_state::kRunning; ++i) {
+    const double fails = i > 35 && i < 50 ? 0.3 : 0.02;
+    w.Tick(10, fails, fails);
+  }
+  CHECK(w.state() == catalog::move_state::kCompleted);
+}
+
+TEST_CASE("a target with a third of the slots does not take all traffic") {
+  // Found by a hunted day: the old servers stopped, and 18 slots had to bear
+  // the load of 54.
+  move_world w(9, 27);
+  for (int i = 0; i < 2 * kTicks; ++i)
+    w.Tick(10, 0.02, 0.02);
+  CHECK(w.state() == catalog::move_state::kRunning);
+  CHECK(w.share() <= 330);
+}
+
+TEST_CASE("nothing is decided before the outcomes are known") {
+  move_world w(20, 20, false);
+  for (int i = 0; i < 20; ++i)
+    w.Tick(10, 0, 0);
+  CHECK(w.share() == 0);
+  CHECK(w.written.empty());
+}
+
+TEST_CASE("a member writes a verdict that its root does not get written") {
+  move_world w(20, 20);
+  w.Step(role_changed{false});
+  stage verdict = w.stages.front();
+  verdict.state = catalog::move_state::kRolledBack;
+  verdict.per_mille = 0;
+  ++verdict.step;
+  w.Step(stages_heard{{verdict}});
+  CHECK(w.share() == 0);
+  for (int i = 0; i < 3; ++i)
+    w.Tick(0, 0, 0);
+  CHECK(w.written.empty());
+  for (int i = 0; i < 10; ++i)
+    w.Tick(0, 0, 0);
+  CHECK(w.written.back() == catalog::move_state::kRolledBack);
+}
+
+TEST_CASE("chance alone seldom condemns a good version") {
+  std::minstd_rand random(11);
+  std::uniform_real_distribution<double> draw(0, 1);
+  int condemned = 0;
+  constexpr int kTrials = 2'000;
+  for (int t = 0; t < kTrials; ++t) {
+    step_evidence e;
+    for (int i = 0; i < 40; ++i)
+      e.target.Add({1, draw(random) < 0.08 ? 1U : 0U});
+    for (int i = 0; i < 300; ++i)
+      e.old.Add({1, draw(random) < 0.08 ? 1U : 0U});
+    condemned += IsWorse({e}) ? 1 : 0;
+  }
+  // Three standard deviations, one side.
+  CHECK(condemned < kTrials / 100);
+}
