Test the traffic package over loopback; answer callers whose header is late with 408

Cause: found by the new test: the stream's own timeout closes the connection, so that a caller whose header took too long got no answer. Change: reading is ended by a timer that only cancels it.

--- a/packages/traffic/src/callers.cc
+++ b/packages/traffic/src/callers.cc
@@ -31,6 +31,40 @@
   return std::nullopt;
 }
 
+// Ends reading after a time without closing the connection, as the stream's own
+// timeout would, so that the caller can still be answered.
+class read_limit {
+ public:
+  explicit read_limit(std::shared_ptr<beast::tcp_stream> stream)
+      : stream_(std::move(stream)), timer_(stream_->get_executor()) {
+    stream_->expires_never();
+  }
+  void Set(milliseconds length) {
+    timer_.expires_after(length);
+    timer_.async_wait([stream = stream_, state = state_](error_code ec) {
+      if (ec || state->is_ended)
+        return;
+      state->is_over = true;
+      stream->cancel();
+    });
+  }
+  // Returns whether the time was over.
+  bool End() {
+    state_->is_ended = true;
+    timer_.cancel();
+    return state_->is_over;
+  }
+
+ private:
+  struct shared_state {
+    bool is_over = false;
+    bool is_ended = false;
+  };
+  std::shared_ptr<beast::tcp_stream> stream_;
+  asio::steady_timer timer_;
+  std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
+};
+
 // The same for requests with the same caller, method, target and body.
 request_fingerprint FingerprintOf(beast::tcp_stream& stream,
                                   const request_message& request,
@@ -125,7 +159,8 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.header.value));
   parser.body_limit(limits_.body.value);
-  stream->expires_after(limits_.header_timeout);
+  read_limit limit(stream);
+  limit.Set(limits_.header_timeout);
   co_await http::async_read_header(*stream, buffer, parser, Resume(ec));
   if (!ec) {
     if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
@@ -133,9 +168,11 @@
       http::response<http::empty_body> go_on(http::status::continue_, 11);
       co_await http::async_write(*stream, go_on, Resume(ec));
     }
-    stream->expires_after(limits_.idle_timeout);
+    limit.Set(limits_.idle_timeout);
     co_await http::async_read(*stream, buffer, parser, Resume(ec));
   }
+  if (limit.End())
+    ec = beast::error::timeout;
   if (ec) {
     const std::optional<http::status> status = StatusOfReadError(ec, true);
     if (!status)
--- /dev/null
+++ b/packages/traffic/tests/traffic_test.cc
@@ -0,0 +1,345 @@
+#include "dotterellead/traffic.h"
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include "loopback_server.h"
+
+using namespace dotterellead;
+using namespace dotterellead::traffic;
+
+namespace {
+
+constexpr int kFront = 23501;
+constexpr int kReady = 23502;
+constexpr int kServer = 23503;
+
+header_names Names() {
+  header_names n;
+  n.request_id = "Req-Id";
+  n.time_left = "Time-Left-Ms";
+  n.signature = "Proof";
+  n.expected_server = "Expect-Server";
+  n.server = "Server-Id";
+  n.load = "Load";
+  n.not_run = "Not-Run";
+  n.cold_left = "Cold-Ms";
+  return n;
+}
+
+std::string Answer(const std::string& request,
+                   const std::string& status = "200 OK",
+                   const std::string& body = "hello",
+                   const std::string& more = "") {
+  const std::size_t at = request.find("Req-Id: ");
+  const std::string id =
+      at == std::string::npos
+          ? ""
+          : request.substr(at + 8, request.find("\r\n", at) - at - 8);
+  return "HTTP/1.1 " + status + "\r\nReq-Id: " + id + "\r\nProof: p\r\n" +
+         more + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+// Sends every call to one server, and delivers or rejects what comes back, as
+// the test says.
+class traffic_world {
+ public:
+  traffic_world()
+      : service({{0x7f000001, kFront}, {0x7f000001, kReady}, Names()},
+                [this](dispatch::dispatcher::message m) {
+                  std::visit([this](auto& typed) { On(typed); }, m);
+                  return true;
+                }) {
+    service.Start();
+  }
+  ~traffic_world() { service.Stop(); }
+
+  template <class Message>
+  void On(Message&) {}
+  void On(dispatch::call_arrived& m) {
+    last_path = m.path;
+    last_host = m.host;
+    fingerprints.push_back(m.fingerprint.value());
+    if (reject) {
+      service.Carry(dispatch::reject_call{m.call, *reject, milliseconds(250)});
+      return;
+    }
+    service.Carry(dispatch::send_attempt{
+        m.call, {server_id("s-1"), {0x7f000001, kServer}, "/health"},
+        milliseconds(1'000), 1});
+  }
+  void On(dispatch::attempt_ended& m) {
+    results.push_back(m.result);
+    if (m.result == dispatch::attempt_result::kAnswered)
+      service.Carry(dispatch::deliver_answer{m.call});
+    else
+      service.Carry(dispatch::reject_call{
+          m.call, dispatch::reject_reason::kServerFailed, std::nullopt});
+  }
+  void On(dispatch::caller_left& m) {
+    ++left;
+    service.Carry(dispatch::drop_call{m.call});
+  }
+  void On(dispatch::samples_taken& m) {
+    std::lock_guard lock(mutex);
+    samples = m.samples;
+    sampled.notify_all();
+  }
+
+  std::string Ask(const std::string& request) {
+    test_socket s = test_socket::Connect(kFront);
+    s.Write(request);
+    return s.ReadMessage();
+  }
+
+  std::optional<dispatch::reject_reason> reject;
+  std::vector<dispatch::attempt_result> results;
+  std::vector<std::uint64_t> fingerprints;
+  std::string last_path;
+  std::string last_host;
+  std::atomic<int> left = 0;
+  std::mutex mutex;
+  std::condition_variable sampled;
+  std::vector<dispatch::load_sample> samples;
+  traffic_service service;
+};
+
+std::string Get(const std::string& headers = "",
+                const std::string& target = "/a/1") {
+  return "GET " + target + " HTTP/1.1\r\nHost: h.example\r\nReq-Id: 17\r\n" +
+         headers + "\r\n";
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("a request reaches the server unchanged, and its answer the caller") {
+  std::string seen;
+  loopback_server server(kServer, [&](const std::string& r) {
+    seen = r;
+    return Answer(r, "200 OK", "whole", "Keep-Alive: timeout=9\r\n");
+  });
+  REQUIRE(server.ok());
+  traffic_world w;
+  const std::string got = w.Ask(
+      "POST /a/1?x=%20y HTTP/1.1\r\nHost: h.example\r\nReq-Id: 17\r\n"
+      "Own: kept\r\nConnection: keep-alive, Dropped\r\nDropped: 1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK(Has(got, "HTTP/1.1 200 OK"));
+  CHECK(Has(got, "Proof: p"));
+  CHECK(Has(got, "whole"));
+  CHECK_FALSE(Has(got, "Keep-Alive:"));
+  CHECK(Has(seen, "POST /a/1?x=%20y HTTP/1.1"));
+  CHECK(Has(seen, "Own: kept"));
+  CHECK(Has(seen, "Expect-Server: s-1"));
+  CHECK(Has(seen, "Time-Left-Ms: 1000"));
+  CHECK(Has(seen, "Content-Length: 5"));
+  CHECK(Has(seen, "abcde"));
+  CHECK_FALSE(Has(seen, "Dropped"));
+  CHECK_FALSE(Has(seen, "chunked"));
+}
+
+TEST_CASE("requests that are cut, smuggled, too large or improper") {
+  std::atomic<int> ran = 0;
+  loopback_server server(kServer, [&](const std::string& r) {
+    ++ran;
+    return Answer(r);
+  });
+  traffic_world w;
+  catalog::caller_limits limits;
+  limits.header = {2'000};
+  limits.body = {100};
+  limits.header_timeout = milliseconds(300);
+  w.service.SetLimits(limits);
+  const std::string host = "Host: h.example\r\n";
+  struct { std::string request; const char* status; } cases[] = {
+      {"GET / HTTP/1.1\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\r\n" + host + host + "\r\n", "400"},
+      {"POST /a/1 HTTP/1.1\r\n" + host +
+           "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"POST /a/1 HTTP/1.1\r\n" + host +
+           "Transfer-Encoding: gzip\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+       "400"},
+      {"POST /a/1 HTTP/1.1\r\n" + host +
+           "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"GET /a/1 HTTP/1.1\r\n" + host + "Own: a" + std::string(1, '\0') +
+           "b\r\n\r\n",
+       "400"},
+      {"GET /a/1 HTTP/1.1\r\n" + host + "Own: " + std::string(3'000, 'x') +
+           "\r\n\r\n",
+       "431"},
+      {"POST /a/1 HTTP/1.1\r\n" + host + "Content-Length: 101\r\n\r\n", "413"},
+      {"GET /a/1 HTTP/1.1\r\nHost: h.", "408"},
+  };
+  for (const auto& c : cases) {
+    const std::string got = w.Ask(c.request);
+    CAPTURE(c.request);
+    CHECK(Has(got, std::string("HTTP/1.1 ") + c.status));
+  }
+  CHECK(ran == 0);
+}
+
+TEST_CASE("an absolute target names host and path") {
+  loopback_server server(kServer,
+                         [](const std::string& r) { return Answer(r); });
+  traffic_world w;
+  const std::string got = w.Ask(Get("", "http://other.example/a/2"));
+  CHECK(Has(got, " 200 "));
+  CHECK(w.last_host == "other.example");
+  CHECK(w.last_path == "/a/2");
+}
+
+TEST_CASE("answers that a server may not give are not passed on") {
+  struct { const char* name; server_script script; } cases[] = {
+      {"no proof",
+       [](const std::string& r) {
+         std::string a = Answer(r);
+         return a.erase(a.find("Proof: p\r\n"), 10);
+       }},
+      {"cut off",
+       [](const std::string& r) {
+         std::string a = Answer(r, "200 OK", "hello", "Connection: close\r\n");
+         return a.substr(0, a.size() - 2);
+       }},
+      {"no HTTP",
+       [](const std::string&) {
+         return std::string("nonsense\r\n\r\nConnection: close");
+       }},
+      {"encoded",
+       [](const std::string& r) {
+         return Answer(r, "200 OK", "hello", "Content-Encoding: gzip\r\n");
+       }},
+      {"a promise that the server does not make",
+       [](const std::string& r) { return Answer(r, "503 Busy"); }},
+      {"nothing", [](const std::string&) { return std::string(); }},
+  };
+  for (const auto& c : cases) {
+    CAPTURE(c.name);
+    loopback_server server(kServer, c.script);
+    traffic_world w;
+    CHECK(Has(w.Ask(Get()), "HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("a late extra answer is dropped, and its connection not used again") {
+  std::atomic<int> count = 0;
+  loopback_server server(kServer, [&](const std::string& r) {
+    const std::string stray =
+        "HTTP/1.1 200 OK\r\nReq-Id: 99\r\nProof: x\r\nContent-Length: 5\r\n\r\n"
+        "other";
+    return ++count == 1 ? Answer(r) + stray : stray + Answer(r);
+  });
+  traffic_world w;
+  for (int i = 0; i < 3; ++i) {
+    const std::string got = w.Ask(Get());
+    CHECK(Has(got, "hello"));
+    CHECK_FALSE(Has(got, "other"));
+  }
+}
+
+TEST_CASE("what a server says of its load and of not having run is understood") {
+  loopback_server server(kServer, [](const std::string& r) {
+    if (Has(r, "GET /health"))
+      return std::string(
+          "HTTP/1.1 200 OK\r\nServer-Id: s-1\r\nLoad: 1,2,4,400\r\n"
+          "Cold-Ms: 1500\r\nContent-Length: 0\r\n\r\n");
+    return std::string(
+        "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  traffic_world w;
+  w.Ask(Get());
+  REQUIRE(w.results.size() == 1);
+  CHECK(w.results[0] == dispatch::attempt_result::kNotRun);
+  const dispatch::server_ref good{server_id("s-1"), {0x7f000001, kServer},
+                                  "/health"};
+  const dispatch::server_ref other{server_id("s-2"), {0x7f000001, kServer},
+                                   "/health"};
+  const dispatch::server_ref gone{server_id("s-3"), {0x7f000001, 23599},
+                                  "/health"};
+  std::unique_lock lock(w.mutex);
+  w.service.Carry(dispatch::take_samples{
+      request_id(7), {good, other, gone}, milliseconds(300)});
+  w.sampled.wait_for(lock, std::chrono::seconds(5),
+                     [&] { return w.samples.size() == 3; });
+  REQUIRE(w.samples.size() == 3);
+  for (const dispatch::load_sample& s : w.samples) {
+    if (s.server.value() == "s-1") {
+      CHECK(s.result == dispatch::probe_result::kHealthy);
+      REQUIRE(s.load.has_value());
+      CHECK(s.load->running == 1);
+      CHECK(s.load->slots == 4);
+      CHECK(s.load->pace_percent == 400);
+      CHECK(s.cold_left == milliseconds(1'500));
+    } else if (s.server.value() == "s-2") {
+      CHECK(s.result == dispatch::probe_result::kWrongServer);
+    } else {
+      CHECK(s.result == dispatch::probe_result::kUnreachable);
+    }
+  }
+}
+
+TEST_CASE("rejections carry their status and when to come back") {
+  traffic_world w;
+  struct { dispatch::reject_reason reason; const char* status; } cases[] = {
+      {dispatch::reject_reason::kNoRoute, "404"},
+      {dispatch::reject_reason::kNoRoom, "503"},
+      {dispatch::reject_reason::kTimedOut, "504"},
+      {dispatch::reject_reason::kServerFailed, "502"},
+  };
+  for (const auto& c : cases) {
+    w.reject = c.reason;
+    const std::string got = w.Ask(Get());
+    CHECK(Has(got, std::string("HTTP/1.1 ") + c.status));
+    CHECK(Has(got, "Retry-After: 0.250"));
+    CHECK_FALSE(Has(got, "Proof"));
+  }
+}
+
+TEST_CASE("a caller that closes its connection is noticed at once") {
+  std::atomic<bool> may_end = false;
+  loopback_server server(kServer, [&](const std::string& r) {
+    while (!may_end)
+      std::this_thread::sleep_for(milliseconds(5));
+    return Answer(r);
+  });
+  traffic_world w;
+  {
+    test_socket s = test_socket::Connect(kFront);
+    s.Write(Get());
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  for (int i = 0; i < 100 && w.left == 0; ++i)
+    std::this_thread::sleep_for(milliseconds(5));
+  CHECK(w.left == 1);
+  may_end = true;
+}
+
+TEST_CASE("draining: answers end their connection, idle callers are let go") {
+  loopback_server server(kServer,
+                         [](const std::string& r) { return Answer(r); });
+  traffic_world w;
+  w.service.SetReady(true);
+  test_socket check = test_socket::Connect(kReady);
+  check.Write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(Has(check.ReadMessage(), " 200 "));
+  test_socket idle = test_socket::Connect(kFront);
+  idle.Write(Get());
+  CHECK(Has(idle.ReadMessage(), " 200 "));
+  w.service.SetReady(false);
+  w.service.StartDrain();
+  check.Write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(Has(check.ReadMessage(), " 503 "));
+  CHECK(idle.ReadMessage().empty());
+  const std::string got = w.Ask(Get());
+  CHECK(Has(got, " 200 "));
+  CHECK(Has(got, "Connection: close"));
+}
