--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -106,6 +106,7 @@
   };
   callbacks.role_changed = [this](bool is_root) {
     Post(*moves_, moves::role_changed{is_root});
+    store_->SetRoot(is_root);
   };
   callbacks.stages_heard = [this](std::vector<moves::stage> stages) {
     Post(*moves_, moves::stages_heard{std::move(stages)});
--- a/packages/dispatch/src/arrival.cc
+++ b/packages/dispatch/src/arrival.cc
@@ -11,6 +11,8 @@
 // Patience of a caller that does not state any; the route's timeout ends the
 // call sooner.
 constexpr milliseconds kUnstatedPatience{60'000};
+// Calls that wait for the first configuration at most.
+constexpr std::size_t kMostEarly = 200;
 // Callers of a route whose patience tells the usual one: its upper quartile,
 // since few state more than usual and many may be coming back.
 constexpr std::size_t kRecentCallers = 32;
@@ -23,13 +25,40 @@
 void dispatcher::impl::On(const call_arrived& m,
                           const moment& now,
                           effects& out) {
-  call_state call;
-  call.caller_request = m.caller_request;
-  call.arrived = now.steady;
-  if (!known_ || !known_->config) {
-    Reject(m.call, call, reject_reason::kNoConfiguration, now, out);
+  if (known_ && known_->config) {
+    Accept(m, now.steady, now, out);
     return;
   }
+  early_.push_back({m, now.steady});
+  if (early_.size() > kMostEarly)
+    SettleEarly(now, out);
+}
+
+void dispatcher::impl::SettleEarly(const moment& now, effects& out) {
+  const bool has_config = known_ && known_->config;
+  while (!early_.empty() &&
+         (has_config || early_.size() > kMostEarly ||
+          early_.front().arrived + kConfigurationWait <= now.steady)) {
+    const early_call first = std::move(early_.front());
+    early_.pop_front();
+    if (has_config) {
+      Accept(first.message, first.arrived, now, out);
+      continue;
+    }
+    call_state call;
+    call.caller_request = first.message.caller_request;
+    call.arrived = first.arrived;
+    Reject(first.message.call, call, reject_reason::kNoConfiguration, now, out);
+  }
+}
+
+void dispatcher::impl::Accept(const call_arrived& m,
+                              time_point arrived,
+                              const moment& now,
+                              effects& out) {
+  call_state call;
+  call.caller_request = m.caller_request;
+  call.arrived = arrived;
   call.route = routes_.Find(m.host, m.path);
   if (call.route == nullptr) {
     Reject(m.call, call, reject_reason::kNoRoute, now, out);
@@ -42,9 +71,9 @@
   }
   call.config = known_->config;
   call.target_ends =
-      now.steady + call.route->target - WaitedBefore(*call.route, m.patience);
-  call.patience_ends = now.steady + m.patience.value_or(kUnstatedPatience);
-  call.give_up = now.steady + std::min(call.route->timeout,
+      arrived + call.route->target - WaitedBefore(*call.route, m.patience);
+  call.patience_ends = arrived + m.patience.value_or(kUnstatedPatience);
+  call.give_up = arrived + std::min(call.route->timeout,
                                        m.patience.value_or(kUnstatedPatience));
   call.pool = PickPool(*call.route);
   call.is_trial = PickTrial(call.pool);
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -144,9 +144,14 @@
 void dispatcher::impl::On(const caller_left& m,
                           const moment&,
                           effects& out) {
+  std::erase_if(early_, [&](const early_call& early) {
+    return early.message.call == m.call;
+  });
   auto it = calls_.find(m.call);
-  if (it == calls_.end())
+  if (it == calls_.end()) {
+    out.emplace_back(drop_call{m.call});
     return;
+  }
   call_state& call = it->second;
   Log(out, "caller-left",
       {{"request", call.caller_request},
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -66,6 +66,8 @@
     if (!next || due < *next)
       next = due;
   };
+  if (!early_.empty())
+    consider(early_.front().arrived + kConfigurationWait);
   for (const auto& [id, call] : calls_)
     consider(call.now_in == phase::kWaiting ? call.hold_ends : call.give_up);
   for (const auto& [pool, queue] : queues_)
@@ -75,7 +77,7 @@
 }
 
 void dispatcher::impl::On(const catalog_changed& m,
-                          const moment&,
+                          const moment& now,
                           effects& out) {
   const bool is_new_config =
       !known_ || known_->config != m.snapshot->config;
@@ -91,6 +93,7 @@
   servers_by_pool_.clear();
   for (const auto& [id, server] : known_->servers)
     servers_by_pool_[server.pool].push_back(id);
+  SettleEarly(now, out);
 }
 
 void dispatcher::impl::On(const move_share_changed& m,
@@ -112,6 +115,7 @@
 }
 
 void dispatcher::impl::On(const tick&, const moment& now, effects& out) {
+  SettleEarly(now, out);
   std::vector<request_id> due;
   for (const auto& [id, call] : calls_)
     if (call.give_up <= now.steady ||
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -29,6 +29,10 @@
  private:
   using effects = std::vector<effect>;
 
+  // A host that has just started has its configuration within some ms; calls
+  // that come before wait for it this long.
+  static constexpr milliseconds kConfigurationWait{300};
+
   enum class phase { kSampling, kWaiting, kSending };
 
   struct seen_sample {
@@ -37,6 +41,12 @@
     time_point asked;
   };
 
+  // A call that came before the first configuration.
+  struct early_call {
+    call_arrived message;
+    time_point arrived;
+  };
+
   // Calls of one pool that wait for a free slot, and the sampling that they
   // share.
   struct pool_queue {
@@ -97,6 +107,12 @@
   void On(const tick& m, const moment& now, effects& out);
 
   // Routing (arrival.cc).
+  void Accept(const call_arrived& m,
+              time_point arrived,
+              const moment& now,
+              effects& out);
+  // Routes early calls once there is a configuration, and rejects old ones.
+  void SettleEarly(const moment& now, effects& out);
   pool_id PickPool(const catalog::route& route);
   milliseconds WaitedBefore(const catalog::route& route,
                             std::optional<milliseconds> patience);
@@ -191,6 +207,7 @@
   std::map<pool_id, std::vector<server_id>> servers_by_pool_;
   std::map<std::pair<pool_id, version_id>, std::uint32_t> move_shares_;
   std::map<request_id, call_state> calls_;
+  std::deque<early_call> early_;
   std::map<pool_id, pool_queue> queues_;
   // Sampling rounds of queues, by the id they run under.
   std::map<request_id, pool_id> rounds_;
