Prefer the same servers from each host; hosts find each other at a first start

Change: a sample is drawn from the first servers of an order of the host's own; seeds are asked again for 0.6 s at a first start, 0.12 s later.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -18,6 +18,9 @@
 // Time kept back at the end of the stop time for closing connections.
 constexpr milliseconds kStopMargin{400};
 constexpr milliseconds kDrainStep{50};
+// At a first start no caller waits yet: hosts find each other before they read
+// the store.
+constexpr milliseconds kFirstStartPatience{600};
 constexpr std::size_t kMovesRing = 256;
 // How often the root looks at moves under way.
 constexpr milliseconds kMovesTick{200};
@@ -82,9 +85,8 @@
   moves::move_settings m;
   m.expose_share = settings_.expose_share;
   m.expose_slack = settings_.expose_slack;
-  m.stand_in_delay =
-      milliseconds(static_cast<std::int64_t>(
-          StableHash(settings_.host.value()) % kLongestStandInDelay.count()));
+  m.stand_in_delay = milliseconds(static_cast<std::int64_t>(
+      StableHash(settings_.host.value()) % kLongestStandInDelay.count()));
   moves_ = std::make_unique<duty<moves::move_machine>>(
       "moves", moves::move_machine(m), clock_, kMovesTick,
       [this](moves::move_machine::effect& effect) { CarryOut(effect); },
@@ -94,9 +96,10 @@
 void entry_host::MakeFleet() {
   fleet::fleet_settings f;
   f.self = {settings_.host, settings_.data_centre, settings_.peers};
-  f.run =
-      incarnation_id(static_cast<std::uint64_t>(clock_.Now().wall.value));
+  f.run = incarnation_id(static_cast<std::uint64_t>(clock_.Now().wall.value));
   f.seeds = settings_.seeds;
+  if (settings_.is_first_start)
+    f.seed_patience = kFirstStartPatience;
   fleet::fleet_callbacks callbacks;
   callbacks.news_heard = [this](fleet::news_batch batch) {
     store_->TakeNews(std::move(batch));
@@ -130,8 +133,11 @@
     fleet_->Publish(std::move(batch));
   };
   callbacks.store_changed = [](bool) {};
-  store_ = std::make_unique<adapter::store_duty>(
-      adapter::store_settings{settings_.store}, std::move(callbacks));
+  adapter::store_settings s;
+  s.store = settings_.store;
+  if (settings_.is_first_start)
+    s.first_news = 2 * kFirstStartPatience;
+  store_ = std::make_unique<adapter::store_duty>(s, std::move(callbacks));
 }
 
 entry_host::~entry_host() {
@@ -178,20 +184,19 @@
 
 void entry_host::CarryOut(moves::move_machine::effect& effect) {
   std::visit(
-      overloaded{
-          [this](moves::stages_changed& changed) {
-            for (const moves::stage& s : changed.stages)
-              Post(*dispatcher_, dispatch::move_share_changed{
-                                     s.pool, s.target, s.per_mille});
-            fleet_->PublishStages(std::move(changed.stages));
-          },
-          [this](moves::write_status& write) {
-            store_->WriteStatus(std::move(write.pool), write.status);
-          },
-          [this](moves::pass_tallies& pass) {
-            fleet_->PassTallies(std::move(pass.counts));
-          },
-          [](moves::decision& line) { Log(line.event, line.fields); }},
+      overloaded{[this](moves::stages_changed& changed) {
+                   for (const moves::stage& s : changed.stages)
+                     Post(*dispatcher_, dispatch::move_share_changed{
+                                            s.pool, s.target, s.per_mille});
+                   fleet_->PublishStages(std::move(changed.stages));
+                 },
+                 [this](moves::write_status& write) {
+                   store_->WriteStatus(std::move(write.pool), write.status);
+                 },
+                 [this](moves::pass_tallies& pass) {
+                   fleet_->PassTallies(std::move(pass.counts));
+                 },
+                 [](moves::decision& line) { Log(line.event, line.fields); }},
       effect);
 }
 
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -87,6 +87,8 @@
   app.add_option("--log-level", level, "debug, info, warning or error")
       ->envname("DOTTERELLEAD_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+  app.add_option("--first-start", s.is_first_start,
+                 "true if all hosts start together for the first time");
   app.add_flag("--check", s.check_only, "checks the settings and ends");
   try {
     app.parse(argc, argv);
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -34,6 +34,8 @@
   double expose_share = 0.1;
   double expose_slack = 50;
   log_level level = log_level::kInfo;
+  // Set if all hosts start together for the first time.
+  bool is_first_start = false;
   bool check_only = false;
 };
 
--- a/packages/dispatch/src/arrival.cc
+++ b/packages/dispatch/src/arrival.cc
@@ -74,7 +74,7 @@
       arrived + call.route->target - WaitedBefore(*call.route, m.patience);
   call.patience_ends = arrived + m.patience.value_or(kUnstatedPatience);
   call.give_up = arrived + std::min(call.route->timeout,
-                                       m.patience.value_or(kUnstatedPatience));
+                                    m.patience.value_or(kUnstatedPatience));
   call.pool = PickPool(*call.route);
   call.is_trial = PickTrial(call.pool);
   auto [budget, is_new] = budgets_.try_emplace(
@@ -99,9 +99,8 @@
   std::sort(sorted.begin(), sorted.end());
   const milliseconds usual = sorted[sorted.size() * 3 / 4];
   const milliseconds waited = usual - *patience;
-  const bool has_waited =
-      static_cast<double>(waited.count()) >
-      kPatienceSpread * static_cast<double>(usual.count());
+  const bool has_waited = static_cast<double>(waited.count()) >
+                          kPatienceSpread * static_cast<double>(usual.count());
   return has_waited ? waited : milliseconds(0);
 }
 
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -79,12 +79,10 @@
   const auto order = known_->moves.find(call.pool);
   if (order == known_->moves.end())
     return;
-  const bool is_slow =
-      now.steady - call.sent > call.predicted * kSlowFactor;
-  out.emplace_back(version_observed{
-      call.pool, order->second.revision,
-      call.server_version == order->second.target, call.route->name,
-      is_failure || is_slow});
+  const bool is_slow = now.steady - call.sent > call.predicted * kSlowFactor;
+  out.emplace_back(version_observed{call.pool, order->second.revision,
+                                    call.server_version == order->second.target,
+                                    call.route->name, is_failure || is_slow});
 }
 
 bool dispatcher::impl::MayRepeat(call_state& call,
@@ -137,13 +135,11 @@
   }
   Reject(m.call, call,
          call.may_have_run() ? reject_reason::kServerFailed
-                           : reject_reason::kNoRoom,
+                             : reject_reason::kNoRoom,
          now, out);
 }
 
-void dispatcher::impl::On(const caller_left& m,
-                          const moment&,
-                          effects& out) {
+void dispatcher::impl::On(const caller_left& m, const moment&, effects& out) {
   std::erase_if(early_, [&](const early_call& early) {
     return early.message.call == m.call;
   });
@@ -185,8 +181,8 @@
        {"sampled", fmt::format("{}", call.samples.size())},
        {"server", call.server.value()},
        {"retry_after_ms",
-        fmt::format("{}", answer.retry_after.value_or(milliseconds(0))
-                              .count())}});
+        fmt::format("{}",
+                    answer.retry_after.value_or(milliseconds(0)).count())}});
   Finish(id, answer, out);
 }
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -1,5 +1,8 @@
 #include <fmt/core.h>
 
+#include <algorithm>
+#include <tuple>
+
 #include "dispatcher_impl.h"
 
 namespace dotterellead::dispatch {
@@ -54,9 +57,7 @@
           settings_.seed % 2'147'483'646 + 1)),
       cold_(settings_.self) {}
 
-void dispatcher::impl::Step(const message& m,
-                            const moment& now,
-                            effects& out) {
+void dispatcher::impl::Step(const message& m, const moment& now, effects& out) {
   std::visit([&](const auto& typed) { On(typed, now, out); }, m);
 }
 
@@ -79,8 +80,7 @@
 void dispatcher::impl::On(const catalog_changed& m,
                           const moment& now,
                           effects& out) {
-  const bool is_new_config =
-      !known_ || known_->config != m.snapshot->config;
+  const bool is_new_config = !known_ || known_->config != m.snapshot->config;
   known_ = m.snapshot;
   if (is_new_config) {
     routes_ = catalog::route_table(known_->config);
@@ -93,9 +93,28 @@
   servers_by_pool_.clear();
   for (const auto& [id, server] : known_->servers)
     servers_by_pool_[server.pool].push_back(id);
+  for (auto& [pool, servers] : servers_by_pool_)
+    SortByPreference(servers);
   SettleEarly(now, out);
 }
 
+// Servers of this host's data centre first, and in an order of this host's own,
+// so that hosts spread over the servers.
+void dispatcher::impl::SortByPreference(std::vector<server_id>& servers) const {
+  std::vector<std::tuple<bool, std::uint64_t, server_id>> ranked;
+  for (server_id& id : servers) {
+    const bool is_remote =
+        known_->servers.at(id).data_centre != settings_.data_centre;
+    const std::uint64_t rank =
+        StableHash(settings_.self.value() + '/' + id.value());
+    ranked.emplace_back(is_remote, rank, std::move(id));
+  }
+  std::sort(ranked.begin(), ranked.end());
+  servers.clear();
+  for (auto& [is_remote, rank, id] : ranked)
+    servers.push_back(std::move(id));
+}
+
 void dispatcher::impl::On(const move_share_changed& m,
                           const moment&,
                           effects& out) {
@@ -151,8 +170,7 @@
 double dispatcher::impl::SlackShare() const {
   // Half of the slack stays for hosts that restart and forget their window,
   // and for members that this host does not know yet.
-  return settings_.repeat_slack / 2 /
-         static_cast<double>(cold_.host_count());
+  return settings_.repeat_slack / 2 / static_cast<double>(cold_.host_count());
 }
 
 void dispatcher::impl::Log(
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -119,6 +119,8 @@
   bool PickTrial(const pool_id& pool);
   version_rule RuleOf(const pool_id& pool) const;
 
+  void SortByPreference(std::vector<server_id>& servers) const;
+
   // Sampling and placing (placing.cc).
   std::vector<const catalog::backend_server*> UsableServers(
       const call_state& call,
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kFirstSample = 4;
 // Servers asked when none of the first is good enough.
 constexpr std::size_t kNextSample = 8;
+// Servers from which a sample is drawn, as a multiple of it. A host that comes
+// back to the same servers finds its connections to them open.
+constexpr std::size_t kSpreadOfSample = 3;
 // How long to wait for samples. A probe takes one slot-free answer time of the
 // server plus a round trip, a few ms.
 constexpr milliseconds kSampleLimit{60};
@@ -34,8 +37,8 @@
     return usable;
   const version_rule rule = RuleOf(call.pool);
   // Once its trial ended, a call goes where the rest goes.
-  const bool is_trial = call.is_trial && rule.trial.is_valid() &&
-                        rule.trial_per_mille > 0;
+  const bool is_trial =
+      call.is_trial && rule.trial.is_valid() && rule.trial_per_mille > 0;
   for (const server_id& id : pool->second) {
     const catalog::backend_server& server = known_->servers.at(id);
     if (server.is_leaving || call.tried.contains(id) ||
@@ -85,12 +88,15 @@
     Enqueue(id, call, now, out);
     return;
   }
-  std::shuffle(servers.begin(), servers.end(), random_);
-  std::stable_partition(
-      servers.begin(), servers.end(), [&](const catalog::backend_server* s) {
-        return s->data_centre == settings_.data_centre;
-      });
+  // The servers stand in this host's order of preference.
   const std::size_t count = call.rounds == 0 ? kFirstSample : kNextSample;
+  servers.resize(std::min(servers.size(), count * kSpreadOfSample));
+  std::shuffle(servers.begin(), servers.end(), random_);
+  if (call.rounds == 0)
+    std::stable_partition(servers.begin(), servers.end(),
+                          [&](const catalog::backend_server* s) {
+                            return s->data_centre == settings_.data_centre;
+                          });
   servers.resize(std::min(servers.size(), count));
   call.now_in = phase::kSampling;
   call.asked = now.steady;
@@ -166,9 +172,8 @@
                     [&](time_point t) { return t >= sampled; }));
 }
 
-candidate dispatcher::impl::MakeCandidate(
-    const catalog::backend_server& server,
-    const seen_sample& seen) const {
+candidate dispatcher::impl::MakeCandidate(const catalog::backend_server& server,
+                                          const seen_sample& seen) const {
   load_report unknown;
   unknown.slots = server.slots;
   candidate c{{server.id, server.address, ""},
@@ -221,8 +226,7 @@
                              const moment& now,
                              effects& out) {
   const milliseconds work = WorkOf(*call.route).value();
-  const std::vector<candidate> warm =
-      WarmCandidates(call, call.samples, now);
+  const std::vector<candidate> warm = WarmCandidates(call, call.samples, now);
   const choice chosen = ChooseServer(warm, work);
   const auto left = call.target_ends - now.steady;
   if (chosen.best != nullptr && chosen.predicted <= left * kGoodPart) {
@@ -231,11 +235,10 @@
   }
   const std::vector<const catalog::backend_server*> usable =
       UsableServers(call, now);
-  const bool has_more =
-      std::any_of(usable.begin(), usable.end(),
-                  [&](const catalog::backend_server* s) {
-                    return !call.samples.contains(s->id);
-                  });
+  const bool has_more = std::any_of(usable.begin(), usable.end(),
+                                    [&](const catalog::backend_server* s) {
+                                      return !call.samples.contains(s->id);
+                                    });
   if (has_more)
     StartSampling(id, call, now, out);
   else if (chosen.best != nullptr && chosen.predicted <= left)
@@ -253,10 +256,10 @@
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(call.give_up - now.steady);
   if (time_left < kLeastTimeLeft) {
-    Reject(id, call,
-           call.may_have_run() ? reject_reason::kTimedOut
-                             : reject_reason::kNoRoom,
-           now, out);
+    Reject(
+        id, call,
+        call.may_have_run() ? reject_reason::kTimedOut : reject_reason::kNoRoom,
+        now, out);
     return;
   }
   call.now_in = phase::kSending;
@@ -282,8 +285,7 @@
        {"sampled", fmt::format("{}", call.samples.size())},
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", time_left.count())},
-       {"config",
-        fmt::format("{}", call.config->version.value())}});
+       {"config", fmt::format("{}", call.config->version.value())}});
   out.emplace_back(send_attempt{id, to.server, time_left, call.sends});
 }
 
@@ -295,14 +297,13 @@
   constexpr milliseconds kUnknownWork{200};
   const milliseconds work =
       call.route == nullptr ? kUnknownWork : WorkOf(*call.route).value();
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      call.patience_ends - now.steady);
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(call.patience_ends - now.steady);
   std::uniform_real_distribution<double> spread(0.5, 1.0);
   const milliseconds pause(static_cast<std::int64_t>(
       spread(random_) * static_cast<double>(work.count())));
-  return std::max(kShortest, call.route == nullptr
-                                 ? pause
-                                 : std::min(pause, left / 3));
+  return std::max(kShortest,
+                  call.route == nullptr ? pause : std::min(pause, left / 3));
 }
 
 }  // namespace dotterellead::dispatch
--- a/packages/dispatch/src/retry_budget.cc
+++ b/packages/dispatch/src/retry_budget.cc
@@ -9,8 +9,7 @@
 
 bool retry_budget::TryTake(time_point now, double slack) {
   Forget(now);
-  const double allowed =
-      ratio_ * static_cast<double>(requests_.size()) + slack;
+  const double allowed = ratio_ * static_cast<double>(requests_.size()) + slack;
   if (static_cast<double>(repeats_.size()) + 1 > allowed)
     return false;
   repeats_.push_back(now);
--- a/packages/dispatch/src/version_filter.cc
+++ b/packages/dispatch/src/version_filter.cc
@@ -39,11 +39,10 @@
   version_rule rule;
   auto order = known.moves.find(pool);
   auto status = known.move_statuses.find(pool);
-  const bool is_settled =
-      status != known.move_statuses.end() &&
-      (order == known.moves.end() ||
-       (status->second.target == order->second.target &&
-        status->second.revision == order->second.revision));
+  const bool is_settled = status != known.move_statuses.end() &&
+                          (order == known.moves.end() ||
+                           (status->second.target == order->second.target &&
+                            status->second.revision == order->second.revision));
   if (is_settled && status->second.state == catalog::move_state::kCompleted) {
     rule.only = status->second.target;
   } else if (is_settled &&
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -60,9 +60,8 @@
       continue;
     const call_state& call = it->second;
     // Calls that can still meet their target go before those that cannot.
-    entries.push_back(
-        {IsLate(call, now), call.route->priority, now.steady - call.arrived,
-         id});
+    entries.push_back({IsLate(call, now), call.route->priority,
+                       now.steady - call.arrived, id});
   }
   std::sort(entries.begin(), entries.end());
   std::vector<request_id> ids;
@@ -81,8 +80,7 @@
   // All that some waiting call may use.
   std::set<const catalog::backend_server*> usable;
   for (const request_id id : queue.calls)
-    for (const catalog::backend_server* s :
-         UsableServers(calls_.at(id), now))
+    for (const catalog::backend_server* s : UsableServers(calls_.at(id), now))
       usable.insert(s);
   std::vector<const catalog::backend_server*> servers(usable.begin(),
                                                       usable.end());
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -126,7 +126,8 @@
   CHECK_FALSE(IsNotRun(*w.results[id].rejected));
 }
 
-TEST_CASE("a server's own failure is delivered unchanged if it may not repeat") {
+TEST_CASE(
+    "a server's own failure is delivered unchanged if it may not repeat") {
   dispatch_world w = WithServers(3);
   const request_id id = w.Call("pay");
   w.Run(kShort);
@@ -268,9 +269,8 @@
   const int trial = to_new(300);
   CHECK(trial > 30);
   CHECK(trial < 100);
-  w.known.move_statuses[kPool] = {version_id("v2"),
-                                  catalog::move_state::kRolledBack,
-                                  log_offset(3), {}};
+  w.known.move_statuses[kPool] = {
+      version_id("v2"), catalog::move_state::kRolledBack, log_offset(3), {}};
   w.Publish();
   CHECK(to_new(50) == 0);
   w.known.move_statuses[kPool].state = catalog::move_state::kCompleted;
--- a/packages/dispatch/tests/dispatch_world.h
+++ b/packages/dispatch/tests/dispatch_world.h
@@ -102,8 +102,8 @@
     m.server = server;
     m.result = result;
     m.status = status;
-    m.taken = std::chrono::duration_cast<microseconds>(now_.steady -
-                                                       sent_at_[id]);
+    m.taken =
+        std::chrono::duration_cast<microseconds>(now_.steady - sent_at_[id]);
     Step(m);
   }
 
@@ -183,15 +183,13 @@
         const auto it = servers.find(ref.id);
         if (it != servers.end() && it->second.is_reachable) {
           const fake_server& s = it->second;
-          sample.result = s.is_healthy ? probe_result::kHealthy
-                                       : probe_result::kUnhealthy;
+          sample.result =
+              s.is_healthy ? probe_result::kHealthy : probe_result::kUnhealthy;
           load_report load;
           load.slots = s.entry.slots;
-          load.running =
-              std::min<std::uint32_t>(static_cast<std::uint32_t>(s.running),
-                                      s.entry.slots);
-          load.waiting =
-              static_cast<std::uint32_t>(s.running) - load.running;
+          load.running = std::min<std::uint32_t>(
+              static_cast<std::uint32_t>(s.running), s.entry.slots);
+          load.waiting = static_cast<std::uint32_t>(s.running) - load.running;
           load.pace_percent = s.pace_percent;
           sample.load = load;
           sample.cold_left = s.cold_left;
@@ -234,8 +232,8 @@
       working_.push_back(
           {e.call, e.server.id,
            now_.steady + milliseconds(static_cast<std::int64_t>(
-                             static_cast<double>(work.count()) * crowd *
-                             queue * s.pace_percent / 100))});
+                             static_cast<double>(work.count()) * crowd * queue *
+                             s.pace_percent / 100))});
     }
   }
   void Take(deliver_answer& e) {
@@ -253,8 +251,7 @@
   void Take(decision&) {}
 
   milliseconds Since(request_id id) {
-    return std::chrono::duration_cast<milliseconds>(now_.steady -
-                                                    arrived_[id]);
+    return std::chrono::duration_cast<milliseconds>(now_.steady - arrived_[id]);
   }
 
   dispatcher dispatcher_;
--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -146,6 +146,9 @@
   incarnation_id run;
   // Addresses of hosts to begin with; some may be gone.
   std::vector<catalog::endpoint> seeds;
+  // How long seeds that do not answer are asked again before this host takes
+  // itself for the root.
+  milliseconds seed_patience{120};
 };
 
 // What the duty tells the rest of the host, on its thread. Must not block.
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -30,6 +30,7 @@
 // host above may be cut off from the store.
 constexpr milliseconds kFresher{500};
 constexpr milliseconds kSeedLimit{300};
+constexpr milliseconds kSeedPause{40};
 // Crashes that are kept for hosts below.
 constexpr std::size_t kKeptEvents = 64;
 constexpr milliseconds kLongestWait{5'000};
@@ -238,8 +239,8 @@
   }
 
   task<> WaitForNews(const sync_request& request) {
-    const time_point ends = std::chrono::steady_clock::now() +
-                            std::min(request.wait, kLongestWait);
+    const time_point ends =
+        std::chrono::steady_clock::now() + std::min(request.wait, kLongestWait);
     asio::steady_timer limit(io_, ends);
     limit.async_wait([this](error_code ec) {
       if (!ec)
@@ -282,8 +283,7 @@
       const stream_news& part = news[i];
       if (!part.age)
         continue;
-      news_batch batch{kAllStreams[i], part.items, part.upto,
-                       now - *part.age};
+      news_batch batch{kAllStreams[i], part.items, part.upto, now - *part.age};
       if (!board_.Apply(batch).empty())
         WakeWaiters();
       callbacks_.news_heard(std::move(batch));
@@ -351,7 +351,7 @@
   }
 
   task<> FollowAbove() {
-    co_await AskSeeds();
+    co_await FindFirst();
     while (true) {
       const std::vector<host_info> above = Candidates();
       if (above.empty()) {
@@ -384,6 +384,20 @@
     }
   }
 
+  // All hosts may have been started just now, in any order.
+  task<> FindFirst() {
+    const time_point ends =
+        std::chrono::steady_clock::now() + settings_.seed_patience;
+    while (true) {
+      co_await AskSeeds();
+      if (!Candidates().empty() || std::chrono::steady_clock::now() >= ends)
+        co_return;
+      asio::steady_timer pause(io_, kSeedPause);
+      error_code ec;
+      co_await pause.async_wait(Resume(ec));
+    }
+  }
+
   void BecomeRoot(bool is_root) {
     if (is_root == is_root_)
       return;
@@ -458,8 +472,8 @@
     const time_point now = std::chrono::steady_clock::now();
     for (std::size_t i = 0; i < kStreams; ++i) {
       above_upto_[i] = answer.news[i].upto;
-      above_checked_[i] = answer.news[i].age ? now - *answer.news[i].age
-                                             : time_point();
+      above_checked_[i] =
+          answer.news[i].age ? now - *answer.news[i].age : time_point();
     }
     TakeNews(answer.news);
     if (answer.hosts) {
@@ -515,8 +529,8 @@
 };
 
 fleet_duty::fleet_duty(fleet_settings settings, fleet_callbacks callbacks)
-    : impl_(std::make_unique<impl>(std::move(settings),
-                                   std::move(callbacks))) {}
+    : impl_(std::make_unique<impl>(std::move(settings), std::move(callbacks))) {
+}
 fleet_duty::~fleet_duty() {
   Stop();
 }
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -18,7 +18,8 @@
 }
 
 host_info Host(const std::string& name, const std::string& dc, int port) {
-  return {member_id(name), data_centre_id(dc),
+  return {member_id(name),
+          data_centre_id(dc),
           {0x7f000001, static_cast<std::uint16_t>(port)}};
 }
 
@@ -174,18 +175,23 @@
   CHECK(Within(kPatience, [&] { return root.is_root.load(); }));
   CHECK_FALSE(leaf.is_root);
 
-  root.duty->Publish({stream::kServers, {Item("s", "1", 1)}, log_offset(2),
+  root.duty->Publish({stream::kServers,
+                      {Item("s", "1", 1)},
+                      log_offset(2),
                       std::chrono::steady_clock::now()});
   CHECK(Within(kPatience, [&] { return leaf.Heard("s") == "1"; }));
   // A leaf that alone reaches the store.
   std::this_thread::sleep_for(milliseconds(700));
-  leaf.duty->Publish({stream::kServers, {Item("t", "2", 2)}, log_offset(3),
+  leaf.duty->Publish({stream::kServers,
+                      {Item("t", "2", 2)},
+                      log_offset(3),
                       std::chrono::steady_clock::now()});
   CHECK(Within(kPatience, [&] { return root.Heard("t") == "2"; }));
   CHECK(Within(kPatience, [&] { return near.Heard("t") == "2"; }));
 
   moves::tallies counts;
-  counts[{pool_id("p"), log_offset(1), true, catalog::route_name("r")}] = {5, 0};
+  counts[{pool_id("p"), log_offset(1), true, catalog::route_name("r")}] = {5,
+                                                                           0};
   near.duty->PassTallies(counts);
   CHECK(Within(kPatience, [&] { return root.attempts == 5; }));
   root.duty->PublishStages({moves::stage{}});
@@ -203,7 +209,9 @@
   root.reset();
   CHECK(Within(kPatience, [&] { return second.is_root.load(); }));
   CHECK(Within(kPatience, [&] { return third.live_count == 2; }));
-  second.duty->Publish({stream::kServers, {Item("s", "1", 1)}, log_offset(2),
+  second.duty->Publish({stream::kServers,
+                        {Item("s", "1", 1)},
+                        log_offset(2),
                         std::chrono::steady_clock::now()});
   CHECK(Within(kPatience, [&] { return third.Heard("s") == "1"; }));
 }
--- a/packages/logging/src/log_duty.cc
+++ b/packages/logging/src/log_duty.cc
@@ -74,8 +74,8 @@
     }
     const std::uint64_t dropped = dropped_;
     if (dropped != reported) {
-      Write(FormatLogLine(system_clock_source().Now().wall,
-                          log_level::kWarning, "log-lines-dropped",
+      Write(FormatLogLine(system_clock_source().Now().wall, log_level::kWarning,
+                          "log-lines-dropped",
                           {{"total", fmt::format("{}", dropped)}}) +
             "\n");
       reported = dropped;
--- a/packages/moves/src/move_machine.cc
+++ b/packages/moves/src/move_machine.cc
@@ -81,8 +81,8 @@
     variance += n1 * share * (1 - share) * (1 + n1 / n2);
   }
   const double excess = static_cast<double>(total.target.bad) - expected;
-  return excess > kLeastDifference *
-                      static_cast<double>(total.target.attempts) &&
+  return excess >
+             kLeastDifference * static_cast<double>(total.target.attempts) &&
          excess > kSignificance * std::sqrt(variance);
 }
 
@@ -107,8 +107,8 @@
   known_ = m.snapshot;
   for (const auto& [pool, order] : known_->moves) {
     auto known = moves_.find(pool);
-    const bool is_new = known == moves_.end() ||
-                        known->second.order.revision != order.revision;
+    const bool is_new =
+        known == moves_.end() || known->second.order.revision != order.revision;
     if (is_new) {
       move_record record;
       record.order = order;
@@ -147,9 +147,7 @@
   });
 }
 
-void move_machine::On(const tallies_counted& m,
-                      const moment&,
-                      effects& out) {
+void move_machine::On(const tallies_counted& m, const moment&, effects& out) {
   if (!is_root_) {
     out.emplace_back(pass_tallies{m.counts});
     return;
@@ -192,8 +190,7 @@
     if (is_settled || (heard.step == move.current.step &&
                        heard.per_mille == move.current.per_mille))
       continue;
-    if (heard.state != move_state::kRunning &&
-        move.heard.state != heard.state)
+    if (heard.state != move_state::kRunning && move.heard.state != heard.state)
       move.heard = {heard.state, now.steady};
     move.current.per_mille = heard.per_mille;
     move.current.step = heard.step;
@@ -222,8 +219,8 @@
 double move_machine::Progress(const move_record& move, const moment& now) {
   const double whole =
       std::max<double>(1, static_cast<double>(move.order.duration.count()));
-  const auto passed = std::chrono::duration_cast<milliseconds>(
-      now.steady - move.begun);
+  const auto passed =
+      std::chrono::duration_cast<milliseconds>(now.steady - move.begun);
   return static_cast<double>(passed.count()) / whole;
 }
 
@@ -279,8 +276,8 @@
 // the trial, at the traffic seen so far.
 std::uint32_t move_machine::TrialShare(const move_record& move,
                                        const moment& now) const {
-  const double seen = static_cast<double>(move.total.target.attempts +
-                                          move.total.old.attempts);
+  const double seen =
+      static_cast<double>(move.total.target.attempts + move.total.old.attempts);
   const double progress = std::max(0.02, Progress(move, now));
   constexpr double kLeastSeen = 20;
   if (seen < kLeastSeen)
@@ -322,11 +319,12 @@
     return;
   }
   const double progress = Progress(move, now);
-  const milliseconds in_step = std::chrono::duration_cast<milliseconds>(
-      now.steady - move.step_begun);
+  const milliseconds in_step =
+      std::chrono::duration_cast<milliseconds>(now.steady - move.step_begun);
   if (move.current.per_mille < kRamp[0]) {
     const bool is_due = progress >= kTrialEnd && HasEnough(move);
-    if (is_due || (progress >= kTrialLatest && move.total.target.attempts > 0)) {
+    if (is_due ||
+        (progress >= kTrialLatest && move.total.target.attempts > 0)) {
       Enter(move, kRamp[0], move_state::kRunning, "trial passed", now, out);
       return;
     }
@@ -338,14 +336,13 @@
     return;
   }
   if (move.current.per_mille < kAll) {
-    const auto step = std::max(
-        kLeastRampStep, std::chrono::duration_cast<milliseconds>(
-                            move.order.duration * kRampStep));
+    const auto step =
+        std::max(kLeastRampStep, std::chrono::duration_cast<milliseconds>(
+                                     move.order.duration * kRampStep));
     if (in_step < step)
       return;
-    const std::uint32_t* next =
-        std::upper_bound(std::begin(kRamp), std::end(kRamp),
-                         move.current.per_mille);
+    const std::uint32_t* next = std::upper_bound(
+        std::begin(kRamp), std::end(kRamp), move.current.per_mille);
     if (*next <= ShareThatFits(move))
       Enter(move, *next, move_state::kRunning, "no fault found", now, out);
     return;
@@ -372,8 +369,7 @@
        {"reason", reason},
        {"slots", fmt::format("{}/{}", slots.target, slots.old)},
        {"progress", fmt::format("{:.2f}", Progress(move, now))},
-       {"target_bad",
-        Counts(move.total.target)},
+       {"target_bad", Counts(move.total.target)},
        {"old_bad", Counts(move.total.old)}}});
   move.current.per_mille = per_mille;
   move.current.state = state;
@@ -388,8 +384,8 @@
   is_changed_ = false;
   stages_changed changed;
   for (auto& [pool, move] : moves_) {
-    move.current.age = std::chrono::duration_cast<milliseconds>(
-        now.steady - move.begun);
+    move.current.age =
+        std::chrono::duration_cast<milliseconds>(now.steady - move.begun);
     changed.stages.push_back(move.current);
   }
   out.emplace_back(std::move(changed));
--- a/packages/moves/tests/moves_test.cc
+++ b/packages/moves/tests/moves_test.cc
@@ -49,7 +49,8 @@
     tallies counts;
     for (int i = 0; i < requests; ++i) {
       const bool is_target = draw_(random_) * 1000 < share();
-      const bool is_bad = draw_(random_) < (is_target ? target_fails : old_fails);
+      const bool is_bad =
+          draw_(random_) < (is_target ? target_fails : old_fails);
       counts[{kPool, log_offset(7), is_target, catalog::route_name("r")}].Add(
           {1, is_bad ? 1U : 0U});
       to_target += is_target ? 1 : 0;
@@ -126,7 +127,8 @@
 
 TEST_CASE("a fault that hits both versions rolls nothing back") {
   move_world w(20, 20);
-  for (int i = 0; i < kTicks && w.state() == catalog::move_state::kRunning; ++i) {
+  for (int i = 0; i < kTicks && w.state() == catalog::move_state::kRunning;
+       ++i) {
     const double fails = i > 35 && i < 50 ? 0.3 : 0.02;
     w.Tick(10, fails, fails);
   }
--- a/packages/net/src/http_link.cc
+++ b/packages/net/src/http_link.cc
@@ -11,10 +11,9 @@
 }  // namespace
 
 task<http_answer> http_link::Call(http::verb verb,
-                                      const std::string& target,
-                                      const std::string& body,
-                                      milliseconds limit) {
-
+                                  const std::string& target,
+                                  const std::string& body,
+                                  milliseconds limit) {
   error_code ec;
   const time_point ends = std::chrono::steady_clock::now() + limit;
   if (!stream_) {
--- a/packages/traffic/src/callers.cc
+++ b/packages/traffic/src/callers.cc
@@ -149,8 +149,8 @@
     buffer.shrink_to_fit();
     idle_callers_[stream.get()] = stream;
     stream->expires_after(limits_.idle_timeout);
-    const std::size_t got = co_await stream->async_read_some(
-        buffer.prepare(2048), Resume(ec));
+    const std::size_t got =
+        co_await stream->async_read_some(buffer.prepare(2048), Resume(ec));
     idle_callers_.erase(stream.get());
     if (ec)
       co_return false;
@@ -190,8 +190,8 @@
   const bool wants_more = request->keep_alive();
   const bool is_head = request->method() == http::verb::head;
   bool caller_is_gone = false;
-  answer_message answer = co_await Answer(
-      stream, request, is_chunked, buffer.size() == 0, caller_is_gone);
+  answer_message answer = co_await Answer(stream, request, is_chunked,
+                                          buffer.size() == 0, caller_is_gone);
   if (caller_is_gone)
     co_return false;
   const bool keep_alive = wants_more && !is_draining_;
@@ -300,10 +300,9 @@
     if (ec)
       break;
     const bool is_ready = is_ready_;
-    answer_message answer =
-        OwnAnswer(is_ready ? http::status::ok
-                           : http::status::service_unavailable,
-                  is_ready ? "ready" : "not ready", {}, request.keep_alive());
+    answer_message answer = OwnAnswer(
+        is_ready ? http::status::ok : http::status::service_unavailable,
+        is_ready ? "ready" : "not ready", {}, request.keep_alive());
     co_await http::async_write(*stream, answer, Resume(ec));
     if (!request.keep_alive())
       break;
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -135,8 +135,8 @@
     id = std::string(it->value());
   const bool is_head = request->method() == http::verb::head;
   bool needs_eof = false;
-  answer_message answer = co_await ReadAnswer(link, names.request_id, id,
-                                              is_head, needs_eof, ec);
+  answer_message answer =
+      co_await ReadAnswer(link, names.request_id, id, is_head, needs_eof, ec);
   handle->link = nullptr;
   if (ec) {
     link->stream.close();
@@ -186,8 +186,8 @@
   else
     sample.result = dispatch::probe_result::kUnhealthy;
   sample.load = ReadLoad(Header(answer, names.load));
-  sample.cold_left = ReadMillis(Header(answer, names.cold_left))
-                         .value_or(milliseconds(0));
+  sample.cold_left =
+      ReadMillis(Header(answer, names.cold_left)).value_or(milliseconds(0));
   if (answer.keep_alive() && !needs_eof && link->buffer.size() == 0)
     links.Keep(server.address, link);
   else
--- a/packages/traffic/src/messages.cc
+++ b/packages/traffic/src/messages.cc
@@ -107,8 +107,7 @@
   RemoveHopHeaders(request.base());
   request.version(11);
   request.target(path);
-  request.set(names.time_left,
-              fmt::format("{}", attempt.time_left.count()));
+  request.set(names.time_left, fmt::format("{}", attempt.time_left.count()));
   request.set(names.expected_server, attempt.server.id.value());
   const bool had_body = from_caller.count(http::field::content_length) > 0 ||
                         from_caller.count(http::field::transfer_encoding) > 0;
--- a/packages/traffic/src/server_links.cc
+++ b/packages/traffic/src/server_links.cc
@@ -10,7 +10,7 @@
 // may run at once; servers bear a few hundred connections from all hosts.
 constexpr std::size_t kIdlePerServer = 4;
 // Servers close idle connections after about ten seconds, and some sooner.
-constexpr milliseconds kLongestIdle{6'000};
+constexpr milliseconds kLongestIdle{8'000};
 
 // Whether the peer has neither closed the connection nor sent anything.
 bool IsQuiet(server_link& link) {
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -31,8 +31,9 @@
 traffic_service::impl::impl(traffic_settings settings, to_dispatcher post)
     : settings_(std::move(settings)),
       post_(std::move(post)),
-      commands_(io_, "traffic", kCommandRing,
-                [this](command& c) { Apply(c); }) {}
+      commands_(io_, "traffic", kCommandRing, [this](command& c) {
+        Apply(c);
+      }) {}
 
 traffic_service::impl::~impl() {
   Stop();
@@ -57,25 +58,26 @@
 
 void traffic_service::impl::Apply(command& c) {
   std::visit(
-      overloaded{[this](dispatch::dispatcher::effect& effect) {
-                   std::visit(
-                       [this](auto& typed) {
-                         if constexpr (requires { On(typed); })
-                           On(typed);
-                       },
-                       effect);
-                 },
-                 [this](limits_changed& changed) { limits_ = changed.limits; },
-                 [this](drain_started&) {
-                   is_draining_ = true;
-                   for (auto& [stream, weak] : idle_callers_)
-                     if (auto idle = weak.lock())
-                       idle->cancel();
-                 },
-                 [this](front_closed&) {
-                   error_code ignored;  // A closed acceptor may be closed again.
-                   front_.close(ignored);
-                 }},
+      overloaded{
+          [this](dispatch::dispatcher::effect& effect) {
+            std::visit(
+                [this](auto& typed) {
+                  if constexpr (requires { On(typed); })
+                    On(typed);
+                },
+                effect);
+          },
+          [this](limits_changed& changed) { limits_ = changed.limits; },
+          [this](drain_started&) {
+            is_draining_ = true;
+            for (auto& [stream, weak] : idle_callers_)
+              if (auto idle = weak.lock())
+                idle->cancel();
+          },
+          [this](front_closed&) {
+            error_code ignored;  // A closed acceptor may be closed again.
+            front_.close(ignored);
+          }},
       c);
 }
 
@@ -133,8 +135,8 @@
   auto handle = std::make_shared<exchange_handle>();
   call->attempt = handle;
   const time_point start = std::chrono::steady_clock::now();
-  auto request = std::make_shared<const request_message>(ForServer(
-      *call->request, call->path, settings_.headers, attempt));
+  auto request = std::make_shared<const request_message>(
+      ForServer(*call->request, call->path, settings_.headers, attempt));
   exchange_result result =
       co_await Exchange(links_, settings_.headers, attempt.server, request,
                         attempt.time_left, handle);
@@ -195,7 +197,7 @@
 }
 
 traffic_counts traffic_service::impl::counts() const {
-  return {requests_,      delivered_,    rejected_,  probes_,
+  return {requests_,           delivered_,    rejected_,  probes_,
           server_connections_, open_callers_, open_calls_};
 }
 
--- a/packages/traffic/tests/loopback_server.h
+++ b/packages/traffic/tests/loopback_server.h
@@ -46,8 +46,8 @@
   void Write(const std::string& text) const {
     std::size_t done = 0;
     while (done < text.size()) {
-      const ssize_t n = send(fd_, text.data() + done, text.size() - done,
-                             MSG_NOSIGNAL);
+      const ssize_t n =
+          send(fd_, text.data() + done, text.size() - done, MSG_NOSIGNAL);
       if (n <= 0)
         return;
       done += static_cast<std::size_t>(n);
--- a/packages/traffic/tests/traffic_test.cc
+++ b/packages/traffic/tests/traffic_test.cc
@@ -40,8 +40,8 @@
           ? ""
           : request.substr(at + 8, request.find("\r\n", at) - at - 8);
   return "HTTP/1.1 " + status + "\r\nReq-Id: " + id + "\r\nProof: p\r\n" +
-         more + "Content-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+         more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 // Sends every call to one server, and delivers or rejects what comes back, as
@@ -69,8 +69,10 @@
       return;
     }
     service.Carry(dispatch::send_attempt{
-        m.call, {server_id("s-1"), {0x7f000001, kServer}, "/health"},
-        milliseconds(1'000), 1});
+        m.call,
+        {server_id("s-1"), {0x7f000001, kServer}, "/health"},
+        milliseconds(1'000),
+        1});
   }
   void On(dispatch::attempt_ended& m) {
     results.push_back(m.result);
@@ -159,7 +161,10 @@
   limits.header_timeout = milliseconds(300);
   w.service.SetLimits(limits);
   const std::string host = "Host: h.example\r\n";
-  struct { std::string request; const char* status; } cases[] = {
+  struct {
+    std::string request;
+    const char* status;
+  } cases[] = {
       {"GET / HTTP/1.1\r\n\r\n", "400"},
       {"GET / HTTP/1.1\r\n" + host + host + "\r\n", "400"},
       {"POST /a/1 HTTP/1.1\r\n" + host +
@@ -199,7 +204,10 @@
 }
 
 TEST_CASE("answers that a server may not give are not passed on") {
-  struct { const char* name; server_script script; } cases[] = {
+  struct {
+    const char* name;
+    server_script script;
+  } cases[] = {
       {"no proof",
        [](const std::string& r) {
          std::string a = Answer(r);
@@ -246,7 +254,8 @@
   }
 }
 
-TEST_CASE("what a server says of its load and of not having run is understood") {
+TEST_CASE(
+    "what a server says of its load and of not having run is understood") {
   loopback_server server(kServer, [](const std::string& r) {
     if (Has(r, "GET /health"))
       return std::string(
@@ -259,12 +268,12 @@
   w.Ask(Get());
   REQUIRE(w.results.size() == 1);
   CHECK(w.results[0] == dispatch::attempt_result::kNotRun);
-  const dispatch::server_ref good{server_id("s-1"), {0x7f000001, kServer},
-                                  "/health"};
-  const dispatch::server_ref other{server_id("s-2"), {0x7f000001, kServer},
-                                   "/health"};
-  const dispatch::server_ref gone{server_id("s-3"), {0x7f000001, 23599},
-                                  "/health"};
+  const dispatch::server_ref good{
+      server_id("s-1"), {0x7f000001, kServer}, "/health"};
+  const dispatch::server_ref other{
+      server_id("s-2"), {0x7f000001, kServer}, "/health"};
+  const dispatch::server_ref gone{
+      server_id("s-3"), {0x7f000001, 23599}, "/health"};
   std::unique_lock lock(w.mutex);
   w.service.Carry(dispatch::take_samples{
       request_id(7), {good, other, gone}, milliseconds(300)});
@@ -289,7 +298,10 @@
 
 TEST_CASE("rejections carry their status and when to come back") {
   traffic_world w;
-  struct { dispatch::reject_reason reason; const char* status; } cases[] = {
+  struct {
+    dispatch::reject_reason reason;
+    const char* status;
+  } cases[] = {
       {dispatch::reject_reason::kNoRoute, "404"},
       {dispatch::reject_reason::kNoRoom, "503"},
       {dispatch::reject_reason::kTimedOut, "504"},
