--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -8,6 +8,9 @@
 
 // Pause between two looks at the servers of a pool for which calls wait.
 constexpr milliseconds kRoundPause{15};
+// Longest predicted time, as a multiple of the work, for which a slot is given
+// to a call that is late already.
+constexpr double kLateFactor = 2.0;
 // Servers asked in one round.
 constexpr std::size_t kRoundSample = 12;
 constexpr milliseconds kRoundLimit{60};
@@ -102,12 +105,19 @@
     effects& out) {
   for (const request_id id : InOrder(pool, now)) {
     call_state& call = calls_.at(id);
+    const milliseconds work = WorkOf(*call.route).value();
     const std::vector<candidate> warm = WarmCandidates(call, samples, now);
-    const choice chosen = ChooseServer(warm, WorkOf(*call.route).value());
-    // Before its target a call waits for a server that meets it; after it,
-    // for any that answers in time.
+    const choice chosen = ChooseServer(warm, work);
+    // Before its target a call waits for a server that meets it; after it, for
+    // one that is not slow, since a slow one would hold the slot for several
+    // times the work.
     const time_point wanted =
-        IsLate(call, now) ? call.give_up : call.target_ends;
+        IsLate(call, now)
+            ? std::min(call.give_up,
+                       now.steady +
+                           std::chrono::duration_cast<time_point::duration>(
+                               work * kLateFactor))
+            : call.target_ends;
     if (chosen.best != nullptr && now.steady + chosen.predicted <= wanted)
       Send(id, call, *chosen.best, chosen.predicted, now, out);
     else
