Count calls by class and outcome, with latency histograms, at a metrics address

Cause: the operators asked for counters and histograms; settings files that change without a signal were not read again.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -73,14 +73,30 @@
 }
 
 void entry_host::MakeTraffic() {
+  traffic::traffic_settings t;
+  t.front = settings_.front;
+  t.ready = settings_.ready;
+  t.metrics = settings_.metrics;
+  t.metrics_text = [this] { return MetricsText(); };
+  t.headers = adapter::HeaderNames();
   traffic_ = std::make_unique<traffic::traffic_service>(
-      traffic::traffic_settings{settings_.front, settings_.ready,
-                                adapter::HeaderNames()},
+      std::move(t),
       [this](dispatch::dispatcher::message m) {
         return dispatcher_->Post(std::move(m));
       });
 }
 
+std::string entry_host::MetricsText() {
+  const traffic::traffic_counts counts = traffic_->counts();
+  statistics_.SetGauge("requests_total", counts.requests);
+  statistics_.SetGauge("probes_total", counts.probes);
+  statistics_.SetGauge("server_connections_total", counts.server_connections);
+  statistics_.SetGauge("open_callers", counts.open_callers);
+  statistics_.SetGauge("open_calls", counts.open_calls);
+  statistics_.SetGauge("store_calls_total", store_->calls());
+  return statistics_.Expose();
+}
+
 void entry_host::MakeMoves() {
   moves::move_settings m;
   m.expose_share = settings_.expose_share;
@@ -171,6 +187,12 @@
     Log(line->event, line->fields);
   } else if (const auto* crash = std::get_if<dispatch::crash_seen>(&effect)) {
     fleet_->ReportCrash(crash->fingerprint);
+  } else if (const auto* done =
+                 std::get_if<dispatch::call_finished>(&effect)) {
+    statistics_.Count(
+        {done->route.value(),
+         done->is_delivered ? "delivered" : to_string(done->reason),
+         done->total});
   } else if (const auto* seen =
                  std::get_if<dispatch::version_observed>(&effect)) {
     moves::tallies one;
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -9,6 +9,7 @@
 #include "dotterellead/dispatch.h"
 #include "dotterellead/fleet.h"
 #include "dotterellead/moves.h"
+#include "dotterellead/statistics.h"
 #include "dotterellead/traffic.h"
 #include "entry_settings.h"
 
@@ -20,6 +21,8 @@
   ~entry_host();
 
   void Start();
+  // Ends an interval of the statistics; call it once a second.
+  void RollStatistics() { statistics_.RollInterval(); }
   // Stops taking callers, lets requests in flight end, and returns when the
   // process may end, after the stop time at the latest.
   void Drain();
@@ -28,6 +31,7 @@
   void TakeCatalog(catalog::snapshot_ptr snapshot);
   void CarryOut(dispatch::dispatcher::effect& effect);
   void CarryOut(moves::move_machine::effect& effect);
+  std::string MetricsText();
   void MakeDispatcher();
   void MakeTraffic();
   void MakeMoves();
@@ -38,6 +42,7 @@
   system_clock_source clock_;
   std::atomic<bool> has_config_ = false;
   std::atomic<bool> is_draining_ = false;
+  statistics::call_statistics statistics_;
   std::unique_ptr<traffic::traffic_service> traffic_;
   std::unique_ptr<duty<dispatch::dispatcher>> dispatcher_;
   std::unique_ptr<duty<moves::move_machine>> moves_;
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -35,7 +35,7 @@
                  "file of settings, one NAME=VALUE a line "
                  "(environment: DOTTERELLEAD_BOOT)",
                  file != nullptr);
-  std::string host, data_centre, front, ready, store, peers;
+  std::string host, data_centre, front, ready, metrics, store, peers;
   std::vector<std::string> seeds;
   std::string level = "info";
   double stop_s = 6;
@@ -53,6 +53,8 @@
   app.add_option("--ready", ready, "address for ready checks, IP:PORT")
       ->envname("DOTTERELLEAD_READY")
       ->required();
+  app.add_option("--metrics", metrics, "address for metrics, IP:PORT")
+      ->envname("DOTTERELLEAD_METRICS");
   app.add_option("--store", store, "address of the platform's store, IP:PORT")
       ->envname("DOTTERELLEAD_STORE")
       ->required();
@@ -104,6 +106,8 @@
   s.data_centre = data_centre_id(data_centre);
   s.front = ReadEndpoint(front, "front");
   s.ready = ReadEndpoint(ready, "ready");
+  if (!metrics.empty())
+    s.metrics = ReadEndpoint(metrics, "metrics");
   s.store = ReadEndpoint(store, "store");
   s.peers = ReadEndpoint(peers, "peers");
   for (const std::string& seed : seeds)
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -20,6 +20,8 @@
   data_centre_id data_centre;
   catalog::endpoint front;
   catalog::endpoint ready;
+  // Invalid: no metrics are served.
+  catalog::endpoint metrics;
   catalog::endpoint store;
   // Where other hosts reach this one, and hosts to begin with.
   catalog::endpoint peers;
--- a/apps/entry/run_entry.cc
+++ b/apps/entry/run_entry.cc
@@ -1,5 +1,7 @@
 #include "run_entry.h"
 
+#include <sys/stat.h>
+
 #include <csignal>
 
 #include "dotterellead/logging.h"
@@ -27,6 +29,28 @@
             {"remedy", e.remedy()}});
 }
 
+// Tells whether a file's time of change or size differ from the last look.
+class settings_file {
+ public:
+  explicit settings_file(std::string path) : path_(std::move(path)) {
+    HasChanged();
+  }
+  bool HasChanged() {
+    struct stat now {};
+    if (path_.empty() || stat(path_.c_str(), &now) != 0)
+      return false;
+    const bool is_changed = now.st_mtim.tv_sec != seen_.st_mtim.tv_sec ||
+                            now.st_mtim.tv_nsec != seen_.st_mtim.tv_nsec ||
+                            now.st_size != seen_.st_size;
+    seen_ = now;
+    return is_changed;
+  }
+
+ private:
+  std::string path_;
+  struct stat seen_ {};
+};
+
 // Reads the settings again; a bad file changes nothing.
 void Reload(int argc, const char* const* argv) {
   try {
@@ -63,9 +87,16 @@
     entry_host host(*s);
     host.Start();
     LogEvent(log_level::kInfo, "serving");
+    settings_file file(s->file);
     int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
-      Reload(argc, argv);
+    while (signal != SIGTERM && signal != SIGINT) {
+      constexpr timespec kInterval{1, 0};
+      signal = sigtimedwait(&signals, nullptr, &kInterval);
+      host.RollStatistics();
+      // The file may also change without a signal.
+      if (signal == SIGHUP || file.HasChanged())
+        Reload(argc, argv);
+    }
     LogEvent(log_level::kInfo, "stopping",
              {{"signal", std::to_string(signal)}});
     host.Drain();
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -182,6 +182,15 @@
   bool is_bad = false;
 };
 
+// A call is over; for statistics.
+struct call_finished {
+  catalog::route_name route;
+  bool is_delivered = false;
+  // If not delivered.
+  reject_reason reason = reject_reason::kNoServer;
+  milliseconds total{0};
+};
+
 // One line of the decision log.
 struct decision {
   std::string event;
@@ -223,6 +232,7 @@
                               drop_call,
                               crash_seen,
                               version_observed,
+                              call_finished,
                               decision>;
 
   explicit dispatcher(dispatch_settings settings);
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -130,6 +130,9 @@
     return;
   }
   if (m.result == attempt_result::kAnswered) {
+    const auto total =
+        std::chrono::duration_cast<milliseconds>(now.steady - call.arrived);
+    out.emplace_back(call_finished{call.route->name, true, {}, total});
     Finish(m.call, deliver_answer{m.call}, out);
     return;
   }
@@ -183,6 +186,9 @@
        {"retry_after_ms",
         fmt::format("{}",
                     answer.retry_after.value_or(milliseconds(0)).count())}});
+  out.emplace_back(call_finished{
+      call.route == nullptr ? catalog::route_name() : call.route->name, false,
+      reason, held});
   Finish(id, answer, out);
 }
 
--- a/packages/dispatch/tests/dispatch_world.h
+++ b/packages/dispatch/tests/dispatch_world.h
@@ -248,6 +248,7 @@
   void Take(drop_call&) {}
   void Take(crash_seen&) { ++crashes_told; }
   void Take(version_observed&) {}
+  void Take(call_finished&) {}
   void Take(decision&) {}
 
   milliseconds Since(request_id id) {
--- /dev/null
+++ b/packages/statistics/src/call_statistics.cc
@@ -0,0 +1,141 @@
+#include <fmt/core.h>
+
+#include <boost/histogram.hpp>
+
+#include "dotterellead/statistics.h"
+
+namespace dotterellead::statistics {
+
+namespace {
+
+namespace histogram = boost::histogram;
+
+// Bins of total time, growing by the same factor: from 1 ms to the longest
+// timeout of a route, about 40% a bin.
+constexpr unsigned kBins = 30;
+constexpr double kFirstMillis = 1;
+constexpr double kLastMillis = 30'000;
+
+auto MakeHistogram() {
+  using axis =
+      histogram::axis::regular<double, histogram::axis::transform::log>;
+  return histogram::make_histogram(axis(kBins, kFirstMillis, kLastMillis));
+}
+using latency_histogram = decltype(MakeHistogram());
+
+struct class_counts {
+  std::map<std::string, std::uint64_t, std::less<>> by_outcome;
+  latency_histogram latency = MakeHistogram();
+  double sum_millis = 0;
+  std::uint64_t delivered = 0;
+};
+
+}  // namespace
+
+class call_statistics::impl {
+ public:
+  void Count(const call_record& record) {
+    std::lock_guard lock(mutex_);
+    const bool is_known = classes_.contains(record.call_class);
+    class_counts& counts =
+        classes_[is_known || classes_.size() < kMostClasses ? record.call_class
+                                                            : "other"];
+    auto it = counts.by_outcome.find(record.outcome);
+    if (it == counts.by_outcome.end())
+      it = counts.by_outcome.emplace(std::string(record.outcome), 0).first;
+    ++it->second;
+    ++current_.calls;
+    if (record.outcome != "delivered")
+      return;
+    ++current_.delivered;
+    ++counts.delivered;
+    const double millis = static_cast<double>(record.total.count());
+    counts.sum_millis += millis;
+    counts.latency(std::max(millis, kFirstMillis));
+  }
+
+  void SetGauge(std::string_view name, std::uint64_t value) {
+    std::lock_guard lock(mutex_);
+    gauges_[std::string(name)] = value;
+  }
+
+  void RollInterval() {
+    std::lock_guard lock(mutex_);
+    last_ = std::exchange(current_, {});
+  }
+
+  interval_counts LastInterval() const {
+    std::lock_guard lock(mutex_);
+    return last_;
+  }
+
+  std::string Expose() const {
+    std::lock_guard lock(mutex_);
+    std::string text = "# TYPE dotterellead_calls_total counter\n";
+    for (const auto& [name, counts] : classes_)
+      for (const auto& [outcome, count] : counts.by_outcome)
+        text += fmt::format(
+            "dotterellead_calls_total{{class=\"{}\",outcome=\"{}\"}} {}\n",
+            name, outcome, count);
+    text += "# TYPE dotterellead_call_seconds histogram\n";
+    for (const auto& [name, counts] : classes_)
+      ExposeLatency(name, counts, text);
+    text += fmt::format(
+        "# TYPE dotterellead_interval_calls gauge\n"
+        "dotterellead_interval_calls {}\n"
+        "# TYPE dotterellead_interval_delivered gauge\n"
+        "dotterellead_interval_delivered {}\n",
+        last_.calls, last_.delivered);
+    for (const auto& [name, value] : gauges_)
+      text += fmt::format("# TYPE dotterellead_{0} gauge\ndotterellead_{0} {1}\n",
+                          name, value);
+    return text;
+  }
+
+ private:
+  static void ExposeLatency(const std::string& name,
+                            const class_counts& counts,
+                            std::string& text) {
+    constexpr double kMillis = 1000;
+    double below = 0;
+    for (auto&& bin : histogram::indexed(counts.latency)) {
+      below += static_cast<double>(*bin);
+      text += fmt::format(
+          "dotterellead_call_seconds_bucket{{class=\"{}\",le=\"{:.4g}\"}} "
+          "{}\n",
+          name, bin.bin().upper() / kMillis, below);
+    }
+    text += fmt::format(
+        "dotterellead_call_seconds_bucket{{class=\"{0}\",le=\"+Inf\"}} {1}\n"
+        "dotterellead_call_seconds_sum{{class=\"{0}\"}} {2:.3f}\n"
+        "dotterellead_call_seconds_count{{class=\"{0}\"}} {1}\n",
+        name, counts.delivered, counts.sum_millis / kMillis);
+  }
+
+  mutable std::mutex mutex_;
+  std::map<std::string, class_counts> classes_;
+  std::map<std::string, std::uint64_t> gauges_;
+  interval_counts current_;
+  interval_counts last_;
+};
+
+call_statistics::call_statistics() : impl_(std::make_unique<impl>()) {}
+call_statistics::~call_statistics() = default;
+
+void call_statistics::Count(const call_record& record) {
+  impl_->Count(record);
+}
+void call_statistics::SetGauge(std::string_view name, std::uint64_t value) {
+  impl_->SetGauge(name, value);
+}
+void call_statistics::RollInterval() {
+  impl_->RollInterval();
+}
+interval_counts call_statistics::LastInterval() const {
+  return impl_->LastInterval();
+}
+std::string call_statistics::Expose() const {
+  return impl_->Expose();
+}
+
+}  // namespace dotterellead::statistics
--- /dev/null
+++ b/packages/statistics/tests/statistics_test.cc
@@ -0,0 +1,51 @@
+#include "dotterellead/statistics.h"
+
+#include <doctest/doctest.h>
+
+using namespace dotterellead;
+using namespace dotterellead::statistics;
+
+namespace {
+
+bool Has(const std::string& text, const std::string& line) {
+  return text.find(line + "\n") != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("calls are counted by class and outcome, delivered ones timed") {
+  call_statistics s;
+  s.Count({"read", "delivered", milliseconds(200)});
+  s.Count({"read", "delivered", milliseconds(400)});
+  s.Count({"read", "no-room", milliseconds(5)});
+  s.SetGauge("open_callers", 7);
+  const std::string text = s.Expose();
+  CHECK(Has(text,
+            R"(dotterellead_calls_total{class="read",outcome="delivered"} 2)"));
+  CHECK(Has(text,
+            R"(dotterellead_calls_total{class="read",outcome="no-room"} 1)"));
+  CHECK(Has(text, R"(dotterellead_call_seconds_sum{class="read"} 0.600)"));
+  CHECK(Has(text, R"(dotterellead_call_seconds_count{class="read"} 2)"));
+  CHECK(Has(text, "dotterellead_open_callers 7"));
+}
+
+TEST_CASE("an interval's counts can be read until the next one ends") {
+  call_statistics s;
+  s.Count({"read", "delivered", milliseconds(1)});
+  CHECK(s.LastInterval().calls == 0);
+  s.RollInterval();
+  CHECK(s.LastInterval().calls == 1);
+  s.Count({"read", "no-room", milliseconds(1)});
+  CHECK(s.LastInterval().delivered == 1);
+  s.RollInterval();
+  CHECK(s.LastInterval().delivered == 0);
+}
+
+TEST_CASE("classes are bounded") {
+  call_statistics s;
+  for (int i = 0; i < 1'000; ++i)
+    s.Count({"class-" + std::to_string(i), "delivered", milliseconds(1)});
+  const std::string text = s.Expose();
+  CHECK(text.find(R"(class="other")") != std::string::npos);
+  CHECK(text.find(R"(class="class-999")") == std::string::npos);
+}
--- a/packages/traffic/include/dotterellead/traffic.h
+++ b/packages/traffic/include/dotterellead/traffic.h
@@ -40,6 +40,10 @@
   catalog::endpoint front;
   // Answers whether this host takes new callers.
   catalog::endpoint ready;
+  // Gives the text of `metrics_text`; invalid: not served.
+  catalog::endpoint metrics;
+  // Called on the service's thread.
+  std::function<std::string()> metrics_text;
   header_names headers;
 };
 
@@ -54,13 +58,6 @@
   std::uint64_t open_calls = 0;
 };
 
-// Latency of delivered answers for one route.
-class latency_recorder {
- public:
-  virtual ~latency_recorder() = default;
-  virtual void Delivered(int status, microseconds total) = 0;
-};
-
 class traffic_service {
  public:
   // Takes what the dispatcher must know; false if it cannot take more now.
--- a/packages/traffic/src/callers.cc
+++ b/packages/traffic/src/callers.cc
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-// A ready check that takes longer than this is let go.
-constexpr milliseconds kReadyCheckLimit{2'000};
+// A check's connection that is idle for longer than this is let go.
+constexpr milliseconds kCheckLimit{2'000};
 // Time for a caller to take an answer.
 constexpr milliseconds kWriteLimit{10'000};
 // After a shortage of descriptors or memory, pause before accepting again.
@@ -273,11 +273,20 @@
   post_(dispatch::caller_left{id});
 }
 
-task<> traffic_service::impl::AcceptReadyChecks() {
+answer_message traffic_service::impl::ReadyAnswer() const {
+  const bool is_ready = is_ready_;
+  return OwnAnswer(
+      is_ready ? http::status::ok : http::status::service_unavailable,
+      is_ready ? "ready" : "not ready", {}, true);
+}
+
+task<> traffic_service::impl::AcceptChecks(
+    tcp::acceptor& acceptor,
+    std::function<answer_message()> answer) {
   while (true) {
     error_code ec;
     auto stream = std::make_shared<beast::tcp_stream>(io_);
-    co_await ready_.async_accept(stream->socket(), Resume(ec));
+    co_await acceptor.async_accept(stream->socket(), Resume(ec));
     if (ec == asio::error::operation_aborted)
       co_return;
     if (ec) {
@@ -285,27 +294,28 @@
       co_await pause.async_wait(Resume(ec));
       continue;
     }
-    asio::co_spawn(io_, AnswerReadyCheck(std::move(stream)), asio::detached);
+    asio::co_spawn(io_, AnswerChecks(std::move(stream), answer),
+                   asio::detached);
   }
 }
 
-task<> traffic_service::impl::AnswerReadyCheck(
-    std::shared_ptr<beast::tcp_stream> stream) {
+task<> traffic_service::impl::AnswerChecks(
+    std::shared_ptr<beast::tcp_stream> stream,
+    std::function<answer_message()> answer) {
   beast::flat_buffer buffer;
   error_code ec;
-  while (!ec) {
+  bool is_kept = true;
+  while (is_kept) {
     request_message request;
-    stream->expires_after(kReadyCheckLimit);
+    stream->expires_after(kCheckLimit);
     co_await http::async_read(*stream, buffer, request, Resume(ec));
     if (ec)
       break;
-    const bool is_ready = is_ready_;
-    answer_message answer = OwnAnswer(
-        is_ready ? http::status::ok : http::status::service_unavailable,
-        is_ready ? "ready" : "not ready", {}, request.keep_alive());
-    co_await http::async_write(*stream, answer, Resume(ec));
-    if (!request.keep_alive())
-      break;
+    answer_message reply = answer();
+    is_kept = request.keep_alive();
+    reply.keep_alive(is_kept);
+    co_await http::async_write(*stream, reply, Resume(ec));
+    is_kept = is_kept && !ec;
   }
   stream->close();
 }
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -43,7 +43,16 @@
   front_ = Listen(settings_.front, "front");
   ready_ = Listen(settings_.ready, "ready");
   asio::co_spawn(io_, AcceptCallers(), asio::detached);
-  asio::co_spawn(io_, AcceptReadyChecks(), asio::detached);
+  asio::co_spawn(io_, AcceptChecks(ready_, [this] { return ReadyAnswer(); }),
+                 asio::detached);
+  if (settings_.metrics.is_valid()) {
+    metrics_ = Listen(settings_.metrics, "metrics");
+    asio::co_spawn(io_, AcceptChecks(metrics_, [this] {
+                     return OwnAnswer(http::status::ok,
+                                      settings_.metrics_text(), {}, true);
+                   }),
+                   asio::detached);
+  }
   asio::co_spawn(io_, Sweep(), asio::detached);
   thread_ = std::thread([this] { io_.run(); });
   pthread_setname_np(thread_.native_handle(), "traffic");
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -69,8 +69,12 @@
   task<> WatchCaller(std::shared_ptr<beast::tcp_stream> stream,
                      request_id id,
                      std::weak_ptr<open_call> call);
-  task<> AcceptReadyChecks();
-  task<> AnswerReadyCheck(std::shared_ptr<beast::tcp_stream> stream);
+  // Ready checks and metrics: `answer` is made for each request.
+  task<> AcceptChecks(tcp::acceptor& acceptor,
+                      std::function<answer_message()> answer);
+  task<> AnswerChecks(std::shared_ptr<beast::tcp_stream> stream,
+                      std::function<answer_message()> answer);
+  answer_message ReadyAnswer() const;
 
   // Commands (service.cc).
   void Apply(command& c);
@@ -93,6 +97,7 @@
   asio::io_context io_{1};
   tcp::acceptor front_{io_};
   tcp::acceptor ready_{io_};
+  tcp::acceptor metrics_{io_};
   server_links links_{io_};
   mailbox<command> commands_;
   std::map<request_id, call_ptr> calls_;
--- a/packages/traffic/tests/traffic_test.cc
+++ b/packages/traffic/tests/traffic_test.cc
@@ -16,6 +16,7 @@
 constexpr int kFront = 23501;
 constexpr int kReady = 23502;
 constexpr int kServer = 23503;
+constexpr int kMetrics = 23504;
 
 header_names Names() {
   header_names n;
@@ -49,7 +50,11 @@
 class traffic_world {
  public:
   traffic_world()
-      : service({{0x7f000001, kFront}, {0x7f000001, kReady}, Names()},
+      : service({{0x7f000001, kFront},
+                 {0x7f000001, kReady},
+                 {0x7f000001, kMetrics},
+                 [] { return std::string("calls 1"); },
+                 Names()},
                 [this](dispatch::dispatcher::message m) {
                   std::visit([this](auto& typed) { On(typed); }, m);
                   return true;
@@ -296,6 +301,15 @@
   }
 }
 
+TEST_CASE("metrics are served at an address of their own") {
+  traffic_world w;
+  test_socket s = test_socket::Connect(kMetrics);
+  s.Write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  const std::string got = s.ReadMessage();
+  CHECK(Has(got, " 200 "));
+  CHECK(Has(got, "calls 1\n"));
+}
+
 TEST_CASE("rejections carry their status and when to come back") {
   traffic_world w;
   struct {
