Add a seeded fault soak over real entry hosts

Real processes, a stand-in of the platform's store, servers and callers of our own, a loopback proxy; faults in series and overlapping from a seed; promises checked from what callers and servers see.

--- /dev/null
+++ b/tests/soak/server_standin.cc
@@ -0,0 +1,126 @@
+#include "server_standin.h"
+
+#include <fmt/core.h>
+
+namespace dotterellead::soak {
+
+namespace {
+
+constexpr int kSlots = 2;
+constexpr int kQueue = 4;
+constexpr milliseconds kWork{60};
+constexpr int kSlowFactor = 6;
+// The operators' bound on requests to a leaving server, and time for a request
+// that is on its way or waits at the server.
+constexpr milliseconds kLeavingBound{2'000 + 1'000};
+
+}  // namespace
+
+server_standin::server_standin(asio::io_context& io,
+                               std::string id,
+                               std::string pool,
+                               int port,
+                               run_log& log)
+    : io_(io),
+      id_(std::move(id)),
+      pool_(std::move(pool)),
+      port_(port),
+      log_(log),
+      acceptor_(io) {
+  Restart();
+}
+
+void server_standin::Restart() {
+  if (acceptor_.is_open())
+    return;
+  ++life_;
+  born_ = std::chrono::duration_cast<milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count();
+  running_ = 0;
+  waiting_ = 0;
+  OpenAcceptor(acceptor_, port_);
+  asio::co_spawn(
+      io_, AcceptOn(io_, acceptor_, [this](stream_ptr s) { return Serve(s); }),
+      asio::detached);
+}
+
+void server_standin::Crash() {
+  error_code ignored;  // A server that is down may crash again.
+  acceptor_.close(ignored);
+  ++life_;
+}
+
+std::string server_standin::Load() const {
+  return fmt::format("{},{},{},{}", running_, waiting_, kSlots,
+                     is_slow_ ? 100 * kSlowFactor : 100);
+}
+
+task<> server_standin::Serve(stream_ptr stream) {
+  const std::uint64_t life = life_;
+  beast::flat_buffer buffer;
+  error_code ec;
+  while (life == life_) {
+    request_message request;
+    stream->expires_after(std::chrono::seconds(10));
+    co_await http::async_read(*stream, buffer, request, Resume(ec));
+    if (ec || life != life_)
+      break;
+    bool is_lost = false;
+    answer_message answer = co_await Answer(request, life, is_lost);
+    if (is_lost || life != life_)
+      break;
+    answer.set("Instance-Id", id_);
+    answer.set("Instance-Load", Load());
+    answer.prepare_payload();
+    co_await http::async_write(*stream, answer, Resume(ec));
+    if (ec)
+      break;
+  }
+  stream->close();
+}
+
+task<answer_message> server_standin::Answer(const request_message& request,
+                                            std::uint64_t life,
+                                            bool& is_lost) {
+  answer_message answer(http::status::ok, 11);
+  const std::string expected = Text(request, "Expect-Instance");
+  if (!expected.empty() && expected != id_) {
+    answer.result(http::status::misdirected_request);
+    co_return answer;
+  }
+  if (request.target() == "/health") {
+    if (is_leaving())
+      answer.result(http::status::service_unavailable);
+    co_return answer;
+  }
+  if (running_ + waiting_ >= kSlots + kQueue) {
+    answer.result(http::status::service_unavailable);
+    answer.set("Not-Executed", "1");
+    co_return answer;
+  }
+  ++waiting_;
+  while (running_ >= kSlots && life == life_)
+    co_await Sleep(io_, milliseconds(2));
+  if (life != life_)
+    co_return answer;
+  --waiting_;
+  ++running_;
+  const std::string id = Text(request, "Attempt-Id");
+  ++log_.runs[id];
+  log_.pool_of[id] = pool_;
+  const time_point now = std::chrono::steady_clock::now();
+  if (is_leaving() && now > leaving_since_ + kLeavingBound)
+    ++log_.after_leaving;
+  co_await Sleep(io_, is_slow_ ? kWork * kSlowFactor : kWork);
+  if (life != life_)
+    co_return answer;
+  --running_;
+  is_lost = loses_answers_ && log_.runs.size() % 3 == 0;
+  answer.set("Attempt-Id", id);
+  answer.set("Response-Signature", "proof-" + id);
+  answer.body() = "answer to " + id;
+  co_return answer;
+}
+
+}  // namespace dotterellead::soak
--- /dev/null
+++ b/tests/soak/store_standin.h
@@ -0,0 +1,56 @@
+// The platform's store, as its published protocol describes it, with faults.
+#ifndef TESTS_SOAK_STORE_STANDIN_H_
+#define TESTS_SOAK_STORE_STANDIN_H_
+
+#include <map>
+#include <vector>
+
+#include "standin_net.h"
+
+namespace dotterellead::soak {
+
+enum class store_fault { kNone, kBusy, kSilent, kReset, kSlow };
+
+class store_standin {
+ public:
+  store_standin(asio::io_context& io, int port);
+  // Appends a record to a keyed topic, as servers and operators do. An empty
+  // value removes the key.
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value);
+  void SetFault(store_fault fault) { fault_ = fault; }
+  // Drops the history; the newest records of all keys stay.
+  void Compact();
+  store_fault fault() const { return fault_; }
+
+ private:
+  struct record {
+    std::string key;
+    std::string value;
+  };
+  struct topic_log {
+    std::uint64_t first = 0;
+    std::vector<record> records;
+    // Offset of each key's newest record, and its value.
+    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    std::uint64_t end() const { return first + records.size(); }
+  };
+
+  task<> Serve(stream_ptr stream);
+  task<answer_message> Answer(const request_message& request);
+  task<answer_message> Read(std::map<std::string, std::string>& query);
+  answer_message Newest(std::map<std::string, std::string>& query);
+  answer_message Append(std::map<std::string, std::string>& query,
+                        const std::string& body);
+
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer appended_;
+  std::map<std::string, topic_log> topics_;
+  store_fault fault_ = store_fault::kNone;
+};
+
+}  // namespace dotterellead::soak
+
+#endif  // TESTS_SOAK_STORE_STANDIN_H_
