--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -39,6 +39,7 @@
 void Log(const std::string& event,
          const std::vector<std::pair<std::string_view, std::string>>& pairs) {
   std::vector<log_field> fields;
+  fields.reserve(pairs.size());
   for (const auto& [key, value] : pairs)
     fields.push_back({key, value});
   LogEvent(log_level::kInfo, event, fields);
@@ -62,8 +63,6 @@
   d.repeat_ratio = settings_.repeat_ratio;
   d.repeat_window = settings_.repeat_window;
   d.repeat_slack = settings_.repeat_slack;
-  d.cold_factor = settings_.cold_factor;
-  d.cold_slack = settings_.cold_slack;
   d.seed = StableHash(settings_.host.value()) ^
            static_cast<std::uint64_t>(clock_.Now().wall.value);
   dispatcher_ = std::make_unique<duty<dispatch::dispatcher>>(
@@ -80,8 +79,7 @@
   t.metrics_text = [this] { return MetricsText(); };
   t.headers = adapter::HeaderNames();
   traffic_ = std::make_unique<traffic::traffic_service>(
-      std::move(t),
-      [this](dispatch::dispatcher::message m) {
+      std::move(t), [this](dispatch::dispatcher::message m) {
         return dispatcher_->Post(std::move(m));
       });
 }
@@ -142,8 +140,8 @@
 
 void entry_host::MakeStore() {
   adapter::store_callbacks callbacks;
-  callbacks.catalog_changed = [this](catalog::snapshot_ptr snapshot) {
-    TakeCatalog(std::move(snapshot));
+  callbacks.catalog_changed = [this](const catalog::snapshot_ptr& snapshot) {
+    TakeCatalog(snapshot);
   };
   callbacks.news_read = [this](fleet::news_batch batch) {
     fleet_->Publish(std::move(batch));
@@ -172,7 +170,7 @@
   store_->Start();
 }
 
-void entry_host::TakeCatalog(catalog::snapshot_ptr snapshot) {
+void entry_host::TakeCatalog(const catalog::snapshot_ptr& snapshot) {
   if (snapshot->config) {
     traffic_->SetLimits(snapshot->config->limits);
     has_config_ = true;
@@ -187,8 +185,7 @@
     Log(line->event, line->fields);
   } else if (const auto* crash = std::get_if<dispatch::crash_seen>(&effect)) {
     fleet_->ReportCrash(crash->fingerprint);
-  } else if (const auto* done =
-                 std::get_if<dispatch::call_finished>(&effect)) {
+  } else if (const auto* done = std::get_if<dispatch::call_finished>(&effect)) {
     statistics_.Count(
         {done->route.value(),
          done->is_delivered ? "delivered" : to_string(done->reason),
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -28,7 +28,7 @@
   void Drain();
 
  private:
-  void TakeCatalog(catalog::snapshot_ptr snapshot);
+  void TakeCatalog(const catalog::snapshot_ptr& snapshot);
   void CarryOut(dispatch::dispatcher::effect& effect);
   void CarryOut(moves::move_machine::effect& effect);
   std::string MetricsText();
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -80,12 +80,6 @@
   app.add_option("--repeat-slack", s.repeat_slack,
                  "repeats beyond the ratio in one window, over all hosts")
       ->check(CLI::Range(0.0, 1e6));
-  app.add_option("--cold-factor", s.cold_factor,
-                 "excess over a cold server's rate that it bears")
-      ->check(CLI::Range(0.0, 100.0));
-  app.add_option("--cold-slack", s.cold_slack,
-                 "requests beyond a cold server's rate in one second")
-      ->check(CLI::Range(0.0, 1e6));
   app.add_option("--log-level", level, "debug, info, warning or error")
       ->envname("DOTTERELLEAD_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -60,7 +60,7 @@
 };
 
 // An entry host, by its configured name.
-using member_id = text_id<struct member_tag>;
+using member_id = text_id<struct entry_host_name_tag>;
 // One run of an entry host process; a restart gets a higher one (wall clock
 // milliseconds).
 using incarnation_id = number_id<struct incarnation_tag>;
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -207,10 +207,6 @@
   double repeat_ratio = 0.2;
   milliseconds repeat_window{10'000};
   double repeat_slack = 50;
-  // Requests to a cold server in one second, over all hosts: rate times factor
-  // plus slack.
-  double cold_factor = 1.5;
-  double cold_slack = 5;
   std::uint64_t seed = 1;
 };
 
--- a/packages/dispatch/src/version_filter.cc
+++ b/packages/dispatch/src/version_filter.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-using catalog::backend_server;
 using catalog::snapshot;
 
 // Versions of the pool's servers, by the start of their oldest server.
@@ -22,6 +21,7 @@
       it->second = std::min(it->second, server.born);
   }
   std::vector<version_id> versions;
+  versions.reserve(oldest.size());
   for (const auto& [version, born] : oldest)
     versions.push_back(version);
   std::stable_sort(versions.begin(), versions.end(),
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -68,6 +68,7 @@
   }
   std::sort(entries.begin(), entries.end());
   std::vector<request_id> ids;
+  ids.reserve(entries.size());
   for (const entry& e : entries)
     ids.push_back(e.id);
   return ids;
@@ -113,10 +114,10 @@
     // times the work.
     const time_point wanted =
         IsLate(call, now)
-            ? std::min(call.give_up,
-                       now.steady +
-                           std::chrono::duration_cast<time_point::duration>(
-                               work * kLateFactor))
+            ? std::min(
+                  call.give_up,
+                  now.steady + std::chrono::duration_cast<time_point::duration>(
+                                   work * kLateFactor))
             : call.target_ends;
     if (chosen.best != nullptr && now.steady + chosen.predicted <= wanted)
       Send(id, call, *chosen.best, chosen.predicted, now, out);
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -154,6 +154,7 @@
     w.AddServer("s" + std::to_string(i));
   w.Publish();
   std::vector<member_id> hosts;
+  hosts.reserve(10);
   for (int i = 1; i <= 10; ++i)
     hosts.emplace_back("host-" + std::to_string(i));
   w.Step(hosts_changed{hosts});
@@ -189,6 +190,7 @@
   int sent = 0;
   constexpr int kHosts = 10;
   std::vector<member_id> hosts;
+  hosts.reserve(10);
   for (int i = 0; i < kHosts; ++i)
     hosts.emplace_back("host-" + std::to_string(i));
   for (int i = 0; i < kHosts; ++i) {
@@ -249,7 +251,7 @@
   }
   w.work = milliseconds(5);
   catalog::move_order order;
-  order.pool = kPool;
+  order.pool = test_pool;
   order.target = version_id("v2");
   order.revision = log_offset(3);
   auto to_new = [&](int calls) {
@@ -262,22 +264,22 @@
     }
     return count;
   };
-  w.known.moves[kPool] = order;
+  w.known.moves[test_pool] = order;
   w.Publish();
   CHECK(to_new(50) == 0);
-  w.Step(move_share_changed{kPool, version_id("v2"), 200});
+  w.Step(move_share_changed{test_pool, version_id("v2"), 200});
   const int trial = to_new(300);
   CHECK(trial > 30);
   CHECK(trial < 100);
-  w.known.move_statuses[kPool] = {
+  w.known.move_statuses[test_pool] = {
       version_id("v2"), catalog::move_state::kRolledBack, log_offset(3), {}};
   w.Publish();
   CHECK(to_new(50) == 0);
-  w.known.move_statuses[kPool].state = catalog::move_state::kCompleted;
+  w.known.move_statuses[test_pool].state = catalog::move_state::kCompleted;
   w.Publish();
   CHECK(to_new(50) == 50);
   // The outcome of an earlier order says nothing about a new one.
-  w.known.moves[kPool].revision = log_offset(9);
+  w.known.moves[test_pool].revision = log_offset(9);
   w.known.has_outcomes = false;
   w.Publish();
   CHECK(to_new(50) == 0);
@@ -287,7 +289,7 @@
   dispatch_world w = WithServers(2);
   auto config = std::make_shared<catalog::configuration>(*w.known.config);
   config->version = catalog::config_version(2);
-  config->routes[0].pools = {{kPool, 90}, {pool_id("empty"), 10}};
+  config->routes[0].pools = {{test_pool, 90}, {pool_id("empty"), 10}};
   w.known.config = config;
   w.work = milliseconds(5);
   w.Publish();
--- a/packages/dispatch/tests/dispatch_world.h
+++ b/packages/dispatch/tests/dispatch_world.h
@@ -13,7 +13,7 @@
 
 namespace dotterellead::dispatch {
 
-inline const pool_id kPool("pool");
+inline const pool_id test_pool("pool");
 
 // A server with slots and a short queue, as the operators' servers have.
 struct fake_server {
@@ -36,15 +36,15 @@
 class dispatch_world {
  public:
   explicit dispatch_world(dispatch_settings settings = DefaultSettings())
-      : dispatcher_(settings) {
+      : dispatcher_(std::move(settings)) {
     known.has_outcomes = true;
     auto config = std::make_shared<catalog::configuration>();
     config->version = catalog::config_version(1);
     catalog::pool pool;
-    pool.id = kPool;
+    pool.id = test_pool;
     pool.health_path = "/health";
     pool.cold_rate = 2;
-    config->pools[kPool] = pool;
+    config->pools[test_pool] = pool;
     AddRoute(*config, "read", catalog::repeat_rule::kIdempotent, 2);
     AddRoute(*config, "pay", catalog::repeat_rule::kAtMostOnce, 0);
     known.config = config;
@@ -62,7 +62,7 @@
                  const std::string& version = "v1") {
     fake_server s;
     s.entry.id = server_id(id);
-    s.entry.pool = kPool;
+    s.entry.pool = test_pool;
     s.entry.address = {1, 1};
     s.entry.data_centre = data_centre_id(dc);
     s.entry.version = version_id(version);
@@ -167,7 +167,7 @@
     r.target = milliseconds(600);
     r.priority = priority;
     r.max_servers = 2;
-    r.pools = {{kPool, 1}};
+    r.pools = {{test_pool, 1}};
     config.routes.push_back(r);
   }
 
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -304,6 +304,7 @@
     }
     live.erase(settings_.self.name);
     std::vector<host_info> result;
+    result.reserve(live.size());
     for (auto& [name, info] : live)
       result.push_back(std::move(info));
     return result;
@@ -415,7 +416,7 @@
       request.self = settings_.self;
       const std::string body = EncodeRequest(request);
       const http_answer answer =
-          co_await link.Call(http::verb::post, kPath, body, kSeedLimit);
+          co_await link.Call(http::verb::post, path_, body, kSeedLimit);
       if (answer.status != kOk)
         continue;
       try {
@@ -450,7 +451,7 @@
     request.wait = wait;
     const std::string body = EncodeRequest(request);
     const http_answer answer =
-        co_await link.Call(http::verb::post, kPath, body, wait + kSyncSlack);
+        co_await link.Call(http::verb::post, path_, body, wait + kSyncSlack);
     if (answer.status != kOk) {
       // Counted again with the next host above; a second count of a few
       // attempts does not change a verdict.
@@ -490,7 +491,7 @@
   }
 
   static constexpr int kOk = 200;
-  const std::string kPath = "/sync";
+  const std::string path_ = "/sync";
 
   fleet_settings settings_;
   fleet_callbacks callbacks_;
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -32,19 +32,19 @@
     fleet_settings settings{Host(name, dc, port), incarnation_id(1),
                             std::move(seeds)};
     fleet_callbacks callbacks;
-    callbacks.news_heard = [this](news_batch b) {
+    callbacks.news_heard = [this](const news_batch& b) {
       std::lock_guard lock(mutex);
       for (const news_item& item : b.items)
         heard[item.key] = item.value.value_or("");
     };
-    callbacks.hosts_changed = [this](std::vector<member_id> live) {
+    callbacks.hosts_changed = [this](const std::vector<member_id>& live) {
       live_count = live.size();
     };
     callbacks.role_changed = [this](bool root) { is_root = root; };
-    callbacks.stages_heard = [this](std::vector<moves::stage> s) {
+    callbacks.stages_heard = [this](const std::vector<moves::stage>& s) {
       stage_count = s.size();
     };
-    callbacks.tallies_heard = [this](moves::tallies t) {
+    callbacks.tallies_heard = [this](const moves::tallies& t) {
       for (const auto& [key, tally] : t)
         attempts += tally.attempts;
     };
--- a/packages/moves/tests/moves_test.cc
+++ b/packages/moves/tests/moves_test.cc
@@ -10,24 +10,24 @@
 namespace {
 
 constexpr milliseconds kTick{200};
-const pool_id kPool("pool");
-const version_id kNew("v2");
-const version_id kOld("v1");
+const pool_id test_pool("pool");
+const version_id new_version("v2");
+const version_id old_version("v1");
 
 // A pool with servers of two versions and one order, driven by hand.
 class move_world {
  public:
   move_world(int new_servers, int old_servers, bool has_outcomes = true) {
     auto known = std::make_shared<catalog::snapshot>();
-    Add(*known, kNew, new_servers);
-    Add(*known, kOld, old_servers);
+    Add(*known, new_version, new_servers);
+    Add(*known, old_version, old_servers);
     known->has_outcomes = has_outcomes;
     catalog::move_order order;
-    order.pool = kPool;
-    order.target = kNew;
+    order.pool = test_pool;
+    order.target = new_version;
     order.duration = milliseconds(16'000);
     order.revision = log_offset(7);
-    known->moves[kPool] = order;
+    known->moves[test_pool] = order;
     known_ = known;
     Step(role_changed{true});
     Step(catalog_changed{known_});
@@ -51,8 +51,8 @@
       const bool is_target = draw_(random_) * 1000 < share();
       const bool is_bad =
           draw_(random_) < (is_target ? target_fails : old_fails);
-      counts[{kPool, log_offset(7), is_target, catalog::route_name("r")}].Add(
-          {1, is_bad ? 1U : 0U});
+      counts[{test_pool, log_offset(7), is_target, catalog::route_name("r")}]
+          .Add({1, is_bad ? 1U : 0U});
       to_target += is_target ? 1 : 0;
       bad += is_target && is_bad ? 1 : 0;
     }
@@ -77,7 +77,7 @@
     for (int i = 0; i < count; ++i) {
       catalog::backend_server s;
       s.id = server_id(v.value() + std::to_string(i));
-      s.pool = kPool;
+      s.pool = test_pool;
       s.version = v;
       s.slots = 2;
       known.servers[s.id] = s;
--- a/packages/statistics/src/call_statistics.cc
+++ b/packages/statistics/src/call_statistics.cc
@@ -87,8 +87,8 @@
         "dotterellead_interval_delivered {}\n",
         last_.calls, last_.delivered);
     for (const auto& [name, value] : gauges_)
-      text += fmt::format("# TYPE dotterellead_{0} gauge\ndotterellead_{0} {1}\n",
-                          name, value);
+      text += fmt::format(
+          "# TYPE dotterellead_{0} gauge\ndotterellead_{0} {1}\n", name, value);
     return text;
   }
 
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -76,18 +76,21 @@
     seeds += (i == 0 ? "" : ",") + Address(hosts_[i].peers);
   const std::string dc = host.peers % 2 == 0 ? "dc-a" : "dc-b";
   std::vector<std::string> words = {
-      settings_.binary, "entry", "--host", host.name, "--data-centre", dc,
-      "--front", Address(host.front), "--ready", Address(host.ready), "--peers",
-      Address(host.peers), "--seeds", seeds, "--store",
-      Address(settings_.first_port + 1)};
+      settings_.binary, "entry",
+      "--host",         host.name,
+      "--data-centre",  dc,
+      "--front",        Address(host.front),
+      "--ready",        Address(host.ready),
+      "--peers",        Address(host.peers),
+      "--seeds",        seeds,
+      "--store",        Address(settings_.first_port + 1)};
   std::vector<char*> argv;
   for (std::string& word : words)
     argv.push_back(word.data());
   argv.push_back(nullptr);
-  const std::string log =
-      settings_.log_folder.empty()
-          ? "/dev/null"
-          : settings_.log_folder + "/" + host.name + ".log";
+  const std::string log = settings_.log_folder.empty()
+                              ? "/dev/null"
+                              : settings_.log_folder + "/" + host.name + ".log";
   host.pid = fork();
   if (host.pid == 0) {
     unsetenv("DOTTERELLEAD_BOOT");
@@ -119,12 +122,11 @@
   for (entry_process& host : hosts_) {
     int status = 0;
     if (host.pid > 0 && waitpid(host.pid, &status, WNOHANG) == host.pid) {
-      const bool is_own_end =
-          WIFEXITED(status) ? WEXITSTATUS(status) != 0
-                            : WTERMSIG(status) != SIGKILL;
+      const bool is_own_end = WIFEXITED(status) ? WEXITSTATUS(status) != 0
+                                                : WTERMSIG(status) != SIGKILL;
       if (is_own_end)
-        broken_.push_back(fmt::format("{} ended by itself, status {}",
-                                      host.name, status));
+        broken_.push_back(
+            fmt::format("{} ended by itself, status {}", host.name, status));
       StartHost(host);
     }
   }
@@ -133,17 +135,16 @@
 // ---- Stand-ins
 
 void soak_world::PutServer(server_standin& server) {
-  const auto it = std::find_if(
-      servers_.begin(), servers_.end(),
-      [&](const auto& s) { return s.get() == &server; });
+  const auto it =
+      std::find_if(servers_.begin(), servers_.end(),
+                   [&](const auto& s) { return s.get() == &server; });
   const auto index = static_cast<int>(it - servers_.begin());
   store_->Put(
       "keyed.servers", server.id(),
       fmt::format(R"({{"service":"{}","address":"{}","zone":"dc-a",)"
                   R"("version":"v1","slots":2,"state":"{}","warmupLeftS":0,)"
                   R"("sequence":{},"born":{}}})",
-                  server.pool(),
-                  Address(settings_.first_port + 3 + 2 * index),
+                  server.pool(), Address(settings_.first_port + 3 + 2 * index),
                   server.is_leaving() ? "draining" : "ready", ++sequence_,
                   server.born()));
 }
@@ -189,8 +190,8 @@
   std::exponential_distribution<double> gap(settings_.calls_per_second);
   while (std::chrono::steady_clock::now() + kPatience < ends_) {
     asio::co_spawn(io_, MakeCall(), asio::detached);
-    co_await Sleep(io_, milliseconds(
-                            1 + static_cast<int>(1000 * gap(caller_random_))));
+    co_await Sleep(
+        io_, milliseconds(1 + static_cast<int>(1000 * gap(caller_random_))));
   }
 }
 
@@ -239,10 +240,10 @@
   served_at_end_ += is_at_end && call.status == 200 ? 1 : 0;
   Check(call, answer);
   // The configuration in force, where host and store have been calm.
-  const bool is_judged =
-      call.status == 200 && call.is_once && host.calm_at < call.sent &&
-      store_calm_at_ < call.sent &&
-      config_at_ + kConfigBound + kSlack < call.sent;
+  const bool is_judged = call.status == 200 && call.is_once &&
+                         host.calm_at < call.sent &&
+                         store_calm_at_ < call.sent &&
+                         config_at_ + kConfigBound + kSlack < call.sent;
   if (is_judged &&
       log_.pool_of[call.id] != (is_second_pool_ ? "second" : "first"))
     broken_.push_back(fmt::format("{} ran in pool {} by an old configuration",
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -164,9 +164,8 @@
   return Status(http::status::ok, FormatJson(json));
 }
 
-answer_message store_standin::Append(
-    std::map<std::string, std::string>& query,
-    const std::string& body) {
+answer_message store_standin::Append(std::map<std::string, std::string>& query,
+                                     const std::string& body) {
   topic_log& log = topics_[query["topic"]];
   if (query.contains("at") && std::stoull(query["at"]) != log.end())
     return Status(http::status::precondition_failed);
