--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -160,6 +160,13 @@
                effects& out);
   // Whether even an idle server would answer after the target.
   bool IsLate(const call_state& call, const moment& now);
+  // When an answer must be there at the latest for a slot to be taken now.
+  time_point LatestAnswer(const call_state& call,
+                          milliseconds work,
+                          bool are_all_slow,
+                          const moment& now);
+  // Whether no server that was asked works at about its usual pace.
+  static bool AreAllSlow(const std::map<server_id, seen_sample>& samples);
   // Waiting calls of a pool, those first that should be served first.
   std::vector<request_id> InOrder(const pool_id& pool, const moment& now);
   void StartPoolRound(const pool_id& pool, const moment& now, effects& out);
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -241,7 +241,10 @@
                                     });
   if (has_more)
     StartSampling(id, call, now, out);
-  else if (chosen.best != nullptr && chosen.predicted <= left)
+  else if (chosen.best != nullptr &&
+           (chosen.predicted <= left ||
+            (AreAllSlow(call.samples) &&
+             now.steady + chosen.predicted <= call.give_up)))
     Send(id, call, *chosen.best, chosen.predicted, now, out);
   else if (!TrySendCold(id, call, call.samples, now, out))
     Enqueue(id, call, now, out);
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -11,6 +11,8 @@
 // Longest predicted time, as a multiple of the work, for which a slot is given
 // to a call that is late already.
 constexpr double kLateFactor = 2.0;
+// Pace, in percent of the usual one, from which a server is called slow.
+constexpr std::uint32_t kSlowPace = 200;
 // Servers asked in one round.
 constexpr std::size_t kRoundSample = 12;
 constexpr milliseconds kRoundLimit{60};
@@ -45,6 +47,31 @@
   return now.steady + WorkOf(*call.route).value() > call.target_ends;
 }
 
+bool dispatcher::impl::AreAllSlow(
+    const std::map<server_id, seen_sample>& samples) {
+  return std::none_of(samples.begin(), samples.end(), [](const auto& entry) {
+    const load_sample& sample = entry.second.sample;
+    return sample.result == probe_result::kHealthy &&
+           (!sample.load || sample.load->pace_percent <= kSlowPace);
+  });
+}
+
+// Before its target a call waits for a server that meets it. After it, for one
+// that is not slow, since a slow one would hold its slot for several times the
+// work. Where all servers are slow, waiting finds no better one.
+time_point dispatcher::impl::LatestAnswer(const call_state& call,
+                                          milliseconds work,
+                                          bool are_all_slow,
+                                          const moment& now) {
+  if (are_all_slow)
+    return call.give_up;
+  if (!IsLate(call, now))
+    return call.target_ends;
+  const auto not_slow = std::chrono::duration_cast<time_point::duration>(
+      work * kLateFactor);
+  return std::min(call.give_up, now.steady + not_slow);
+}
+
 std::vector<request_id> dispatcher::impl::InOrder(const pool_id& pool,
                                                   const moment& now) {
   // Of calls alike, the newest goes first: when there is not room for all, it
@@ -104,21 +131,13 @@
     const std::map<server_id, seen_sample>& samples,
     const moment& now,
     effects& out) {
+  const bool are_all_slow = AreAllSlow(samples);
   for (const request_id id : InOrder(pool, now)) {
     call_state& call = calls_.at(id);
     const milliseconds work = WorkOf(*call.route).value();
     const std::vector<candidate> warm = WarmCandidates(call, samples, now);
     const choice chosen = ChooseServer(warm, work);
-    // Before its target a call waits for a server that meets it; after it, for
-    // one that is not slow, since a slow one would hold the slot for several
-    // times the work.
-    const time_point wanted =
-        IsLate(call, now)
-            ? std::min(
-                  call.give_up,
-                  now.steady + std::chrono::duration_cast<time_point::duration>(
-                                   work * kLateFactor))
-            : call.target_ends;
+    const time_point wanted = LatestAnswer(call, work, are_all_slow, now);
     if (chosen.best != nullptr && now.steady + chosen.predicted <= wanted)
       Send(id, call, *chosen.best, chosen.predicted, now, out);
     else
--- a/packages/dispatch/tests/overload_test.cc
+++ b/packages/dispatch/tests/overload_test.cc
@@ -89,6 +89,31 @@
   CHECK(w.most_running <= 2);
 }
 
+TEST_CASE("where all servers are slow, calls are served late, not refused") {
+  dispatch_world w;
+  for (int i = 0; i < 4; ++i) {
+    w.AddServer("s" + std::to_string(i));
+    w.servers[server_id("s" + std::to_string(i))].pace_percent = 400;
+  }
+  w.work = milliseconds(220);
+  w.Publish();
+  auto got = Play(w, 2, milliseconds(10'000));
+  CHECK(got["read"].refused + got["pay"].refused <=
+        (got["read"].calls + got["pay"].calls) / 20);
+}
+
+TEST_CASE("under overload late calls do not hold slow servers") {
+  // Found by incident inc-f541: a third to a half of the requests of callers
+  // that were late already went to servers four times slower.
+  dispatch_world w = TenServers();
+  for (const char* id : {"s1", "s4", "s7"})
+    w.servers[server_id(id)].pace_percent = 400;
+  const double fast_capacity = 7 * 2 / 0.374;
+  auto got = Play(w, fast_capacity * 1.3, milliseconds(10'000));
+  const int in_target = got["read"].in_target + got["pay"].in_target;
+  CHECK(in_target > fast_capacity * 10 * 0.75);
+}
+
 TEST_CASE("waiting calls share their sampling") {
   dispatch_world w = TenServers();
   Play(w, kCapacity * 1.5, milliseconds(5'000));
