--- /dev/null
+++ b/packages/net/include/dotterellead/event_loop.h
@@ -0,0 +1,37 @@
+// The thread of a duty whose work is I/O.
+#ifndef DOTTERELLEAD_EVENT_LOOP_H_
+#define DOTTERELLEAD_EVENT_LOOP_H_
+
+#include <pthread.h>
+
+#include <thread>
+
+#include "dotterellead/net.h"
+
+namespace dotterellead {
+
+class event_loop {
+ public:
+  ~event_loop() { Stop(); }
+  asio::io_context& io() { return io_; }
+
+  // Runs the loop on a thread; `name` has at most 15 characters.
+  void Start(const char* name) {
+    thread_ = std::thread([this] { io_.run(); });
+    pthread_setname_np(thread_.native_handle(), name);
+  }
+  // Ends the thread; work that is waiting is not done any more.
+  void Stop() {
+    io_.stop();
+    if (thread_.joinable())
+      thread_.join();
+  }
+
+ private:
+  asio::io_context io_{1};
+  std::thread thread_;
+};
+
+}  // namespace dotterellead
+
+#endif  // DOTTERELLEAD_EVENT_LOOP_H_
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -1,5 +1,3 @@
-#include <pthread.h>
-
 #include "service_impl.h"
 
 namespace dotterellead::traffic {
@@ -47,22 +45,22 @@
                  asio::detached);
   if (settings_.metrics.is_valid()) {
     metrics_ = Listen(settings_.metrics, "metrics");
-    asio::co_spawn(io_, AcceptChecks(metrics_, [this] {
-                     return OwnAnswer(http::status::ok,
-                                      settings_.metrics_text(), {}, true);
-                   }),
+    asio::co_spawn(io_,
+                   AcceptChecks(metrics_,
+                                [this] {
+                                  return OwnAnswer(http::status::ok,
+                                                   settings_.metrics_text(), {},
+                                                   true);
+                                }),
                    asio::detached);
   }
   asio::co_spawn(io_, Sweep(), asio::detached);
-  thread_ = std::thread([this] { io_.run(); });
-  pthread_setname_np(thread_.native_handle(), "traffic");
+  loop_.Start("traffic");
 }
 
 void traffic_service::impl::Stop() {
   commands_.Close();
-  io_.stop();
-  if (thread_.joinable())
-    thread_.join();
+  loop_.Stop();
 }
 
 void traffic_service::impl::Apply(command& c) {
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -3,9 +3,9 @@
 
 #include <atomic>
 #include <map>
-#include <thread>
 #include <variant>
 
+#include "dotterellead/event_loop.h"
 #include "dotterellead/mailbox.h"
 #include "dotterellead/traffic.h"
 #include "exchange.h"
@@ -94,7 +94,8 @@
 
   traffic_settings settings_;
   to_dispatcher post_;
-  asio::io_context io_{1};
+  event_loop loop_;
+  asio::io_context& io_ = loop_.io();
   tcp::acceptor front_{io_};
   tcp::acceptor ready_{io_};
   tcp::acceptor metrics_{io_};
@@ -114,7 +115,6 @@
   std::atomic<std::uint64_t> open_callers_ = 0;
   std::atomic<std::uint64_t> open_calls_ = 0;
   std::atomic<std::uint64_t> server_connections_ = 0;
-  std::thread thread_;
 };
 
 }  // namespace dotterellead::traffic
