--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -67,8 +67,8 @@
     return call.give_up;
   if (!IsLate(call, now))
     return call.target_ends;
-  const auto not_slow = std::chrono::duration_cast<time_point::duration>(
-      work * kLateFactor);
+  const auto not_slow =
+      std::chrono::duration_cast<time_point::duration>(work * kLateFactor);
   return std::min(call.give_up, now.steady + not_slow);
 }
 
