--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -13,9 +13,10 @@
 fault_proxy::fault_proxy(asio::io_context& io, int port, int target)
     : io_(io), target_(target), acceptor_(io) {
   OpenAcceptor(acceptor_, port);
-  asio::co_spawn(
-      io_, AcceptOn(io_, acceptor_, [this](stream_ptr s) { return Serve(s); }),
-      asio::detached);
+  asio::co_spawn(io_,
+                 AcceptOn(io_, acceptor_,
+                          [this](stream_ptr s) { return Serve(std::move(s)); }),
+                 asio::detached);
 }
 
 void fault_proxy::ResetAll() {
--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -40,9 +40,10 @@
   running_ = 0;
   waiting_ = 0;
   OpenAcceptor(acceptor_, port_);
-  asio::co_spawn(
-      io_, AcceptOn(io_, acceptor_, [this](stream_ptr s) { return Serve(s); }),
-      asio::detached);
+  asio::co_spawn(io_,
+                 AcceptOn(io_, acceptor_,
+                          [this](stream_ptr s) { return Serve(std::move(s)); }),
+                 asio::detached);
 }
 
 void server_standin::Crash() {
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -85,6 +85,7 @@
       "--seeds",        seeds,
       "--store",        Address(settings_.first_port + 1)};
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words)
     argv.push_back(word.data());
   argv.push_back(nullptr);
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -53,9 +53,10 @@
     : io_(io), acceptor_(io), appended_(io) {
   appended_.expires_at(time_point::max());
   OpenAcceptor(acceptor_, port);
-  asio::co_spawn(
-      io_, AcceptOn(io_, acceptor_, [this](stream_ptr s) { return Serve(s); }),
-      asio::detached);
+  asio::co_spawn(io_,
+                 AcceptOn(io_, acceptor_,
+                          [this](stream_ptr s) { return Serve(std::move(s)); }),
+                 asio::detached);
 }
 
 void store_standin::Put(const std::string& topic,
