--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -146,7 +146,6 @@
   callbacks.news_read = [this](fleet::news_batch batch) {
     fleet_->Publish(std::move(batch));
   };
-  callbacks.store_changed = [](bool) {};
   adapter::store_settings s;
   s.store = settings_.store;
   if (settings_.is_first_start)
--- a/packages/traffic/src/server_links.cc
+++ b/packages/traffic/src/server_links.cc
@@ -58,7 +58,6 @@
 void server_links::Keep(const catalog::endpoint& server, link_ptr link) {
   std::vector<link_ptr>& links = idle_[server];
   link->last_answer = std::chrono::steady_clock::now();
-  link->is_reused = true;
   link->stream.expires_never();
   if (links.size() < kIdlePerServer)
     links.push_back(std::move(link));
--- a/packages/traffic/src/server_links.h
+++ b/packages/traffic/src/server_links.h
@@ -17,8 +17,6 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   time_point last_answer;
-  // Carried an answer before.
-  bool is_reused = false;
 };
 
 using link_ptr = std::shared_ptr<server_link>;
