Serve servers that accept few connections, answer probes slowly or tell no load

Cause: idle connections (4 a server and host) took all of a small limit, so that new ones were reset; a waiting pool asked 12 servers every 15 ms even when none answered; a probe on a kept connection was given up after 30 ms; a server that tells no load counted as idle whatever this host had sent to it. Ruled out: the time of a probe as a sign of pace (it is the same on slow machines); avoiding silent servers of pools without a load report (no effect).

--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -34,6 +34,8 @@
   std::optional<load_report> load;
   // How much longer the server is cold.
   milliseconds cold_left{0};
+  // Time until the answer.
+  microseconds taken{0};
 };
 
 // ---- Messages
@@ -114,6 +116,8 @@
   server_id id;
   catalog::endpoint address;
   std::string health_path;
+  // Idle connections that this host may keep to it.
+  std::uint32_t idle_links = 0;
 };
 
 // Asks servers for health and load, at the same time.
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -90,28 +90,34 @@
           {{"version", fmt::format("{}", known_->config->version.value())},
            {"routes", fmt::format("{}", known_->config->routes.size())}});
   }
+  SortServers();
+  SettleEarly(now, out);
+}
+
+void dispatcher::impl::SortServers() {
   servers_by_pool_.clear();
   for (const auto& [id, server] : known_->servers)
     servers_by_pool_[server.pool].push_back(id);
   for (auto& [pool, servers] : servers_by_pool_)
     SortByPreference(servers);
-  SettleEarly(now, out);
 }
 
-// Servers of this host's data centre first, and in an order of this host's own,
-// so that hosts spread over the servers.
+// Servers of this host's data centre first, of these the ones to which it keeps
+// connections, and in an order of this host's own, so that hosts spread over
+// the servers.
 void dispatcher::impl::SortByPreference(std::vector<server_id>& servers) const {
-  std::vector<std::tuple<bool, std::uint64_t, server_id>> ranked;
+  std::vector<std::tuple<bool, bool, std::uint64_t, server_id>> ranked;
   for (server_id& id : servers) {
-    const bool is_remote =
-        known_->servers.at(id).data_centre != settings_.data_centre;
+    const catalog::backend_server& server = known_->servers.at(id);
+    const bool is_remote = server.data_centre != settings_.data_centre;
+    const bool is_without_links = IdleLinksTo(server) == 0;
     const std::uint64_t rank =
         StableHash(settings_.self.value() + '/' + id.value());
-    ranked.emplace_back(is_remote, rank, std::move(id));
+    ranked.emplace_back(is_remote, is_without_links, rank, std::move(id));
   }
   std::sort(ranked.begin(), ranked.end());
   servers.clear();
-  for (auto& [is_remote, rank, id] : ranked)
+  for (auto& [is_remote, is_without_links, rank, id] : ranked)
     servers.push_back(std::move(id));
 }
 
@@ -127,6 +133,8 @@
 
 void dispatcher::impl::On(const hosts_changed& m, const moment&, effects&) {
   cold_.SetHosts(m.live);
+  if (known_)
+    SortServers();
 }
 
 void dispatcher::impl::On(const crash_heard& m, const moment& now, effects&) {
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -12,6 +12,7 @@
 #include "crash_guard.h"
 #include "dotterellead/dispatch.h"
 #include "placement.h"
+#include "probe_habits.h"
 #include "retry_budget.h"
 #include "server_health.h"
 #include "version_filter.h"
@@ -55,6 +56,8 @@
     request_id round;
     time_point asked;
     time_point next_round;
+    // Before the next round; grows while no server answers.
+    milliseconds pause{0};
   };
 
   // A call that is not yet answered.
@@ -119,7 +122,10 @@
   bool PickTrial(const pool_id& pool);
   version_rule RuleOf(const pool_id& pool) const;
 
+  void SortServers();
   void SortByPreference(std::vector<server_id>& servers) const;
+  std::uint32_t IdleLinksTo(const catalog::backend_server& server) const;
+  server_ref RefTo(const catalog::backend_server& server) const;
 
   // Sampling and placing (placing.cc).
   std::vector<const catalog::backend_server*> UsableServers(
@@ -141,6 +147,11 @@
             milliseconds predicted,
             const moment& now,
             effects& out);
+  void LearnFrom(const pool_id& pool,
+                 const std::vector<load_sample>& samples,
+                 const moment& now);
+  // Own requests that a server has not answered yet.
+  std::uint32_t OwnRunning(const server_id& server) const;
   // Own sends that a sample taken at `sampled` does not show yet.
   std::uint32_t SendsSince(const server_id& server, time_point sampled) const;
   std::vector<candidate> WarmCandidates(
@@ -225,6 +236,7 @@
   std::map<request_id, request_fingerprint> crash_checks_;
   crash_guard crashes_;
   std::map<server_id, std::deque<time_point>> own_sends_;
+  std::map<pool_id, probe_habits> habits_;
   std::map<catalog::route_name, work_estimate> work_;
   std::map<pool_id, retry_budget> budgets_;
   std::map<catalog::route_name, std::vector<double>> pool_credit_;
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -18,6 +18,10 @@
 // answer.
 constexpr double kFirstGuess = 0.4;
 
+// Part of a server's connections that may stand idle; the rest carries requests
+// of hosts that keep none.
+constexpr double kIdlePart = 0.6;
+
 double PaceFactor(const load_report& load) {
   return std::max<double>(load.pace_percent, 1) / 100.0;
 }
@@ -57,6 +61,21 @@
   return result;
 }
 
+std::uint32_t IdleLinks(std::uint32_t limit,
+                        std::size_t hosts,
+                        std::uint64_t rank) {
+  if (limit == 0)
+    return kMostIdleLinks;
+  constexpr std::uint64_t kSteps = 1'000;
+  const double share = limit * kIdlePart / static_cast<double>(hosts);
+  const auto whole = static_cast<std::uint64_t>(share);
+  const auto part =
+      static_cast<std::uint64_t>((share - static_cast<double>(whole)) * kSteps);
+  const std::uint64_t links = whole + (rank % kSteps < part ? 1 : 0);
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(links, kMostIdleLinks));
+}
+
 work_estimate::work_estimate(milliseconds target)
     : millis_(kFirstGuess * static_cast<double>(target.count())) {}
 
--- a/packages/dispatch/src/placement.h
+++ b/packages/dispatch/src/placement.h
@@ -34,6 +34,18 @@
 choice ChooseServer(const std::vector<candidate>& candidates,
                     milliseconds work);
 
+// Most idle connections that one host keeps to one server; the probes of
+// several calls may run at once.
+inline constexpr std::uint32_t kMostIdleLinks = 4;
+
+// Idle connections that one of `hosts` hosts may keep to a server that accepts
+// `limit` in all (0: unknown), so that room is left for requests. Where there
+// is less than one for each host, `rank`, which differs by host and server,
+// decides whether this one keeps any.
+std::uint32_t IdleLinks(std::uint32_t limit,
+                        std::size_t hosts,
+                        std::uint64_t rank);
+
 // Running estimate of the time that a route's work takes on an idle server at
 // the usual pace.
 class work_estimate {
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -16,9 +16,8 @@
 // Servers from which a sample is drawn, as a multiple of it. A host that comes
 // back to the same servers finds its connections to them open.
 constexpr std::size_t kSpreadOfSample = 3;
-// How long to wait for samples. A probe takes one slot-free answer time of the
-// server plus a round trip, a few ms.
-constexpr milliseconds kSampleLimit{60};
+// Own sends that are kept to correct samples; no round takes longer.
+constexpr milliseconds kSendsKept{500};
 // A predicted answer within this part of what is left of the target is good
 // enough to stop asking further servers.
 constexpr double kGoodPart = 0.9;
@@ -59,17 +58,32 @@
     milliseconds limit) const {
   take_samples ask;
   ask.call = id;
-  ask.limit = std::min(kSampleLimit, limit);
-  for (const catalog::backend_server* s : from) {
-    const auto pool = known_->config->pools.find(s->pool);
-    ask.servers.push_back({s->id, s->address,
-                           pool == known_->config->pools.end()
-                               ? std::string("/")
-                               : pool->second.health_path});
-  }
+  ask.limit = limit;
+  for (const catalog::backend_server* s : from)
+    ask.servers.push_back(RefTo(*s));
   return ask;
 }
 
+std::uint32_t dispatcher::impl::IdleLinksTo(
+    const catalog::backend_server& server) const {
+  if (!known_->config)
+    return kMostIdleLinks;
+  const auto pool = known_->config->pools.find(server.pool);
+  if (pool == known_->config->pools.end())
+    return kMostIdleLinks;
+  return IdleLinks(
+      pool->second.connection_limit, cold_.host_count(),
+      StableHash(settings_.self.value() + '/' + server.id.value()));
+}
+
+server_ref dispatcher::impl::RefTo(
+    const catalog::backend_server& server) const {
+  const auto pool = known_->config->pools.find(server.pool);
+  return {server.id, server.address,
+          pool == known_->config->pools.end() ? "/" : pool->second.health_path,
+          IdleLinksTo(server)};
+}
+
 void dispatcher::impl::StartSampling(request_id id,
                                      call_state& call,
                                      const moment& now,
@@ -101,21 +115,19 @@
   call.now_in = phase::kSampling;
   call.asked = now.steady;
   ++call.rounds;
-  out.emplace_back(AskFor(
-      id, servers,
-      std::chrono::duration_cast<milliseconds>(call.give_up - now.steady)));
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(call.give_up - now.steady);
+  out.emplace_back(
+      AskFor(id, servers, std::min(left, habits_[call.pool].limit())));
 }
 
 void dispatcher::impl::On(const samples_taken& m,
                           const moment& now,
                           effects& out) {
-  for (const load_sample& sample : m.samples)
-    if (sample.result == probe_result::kUnreachable ||
-        sample.result == probe_result::kWrongServer)
-      health_.Unreachable(sample.server, now.steady);
   if (auto round = rounds_.find(m.call); round != rounds_.end()) {
     const pool_id pool = round->second;
     rounds_.erase(round);
+    LearnFrom(pool, m.samples, now);
     pool_queue& queue = queues_[pool];
     std::map<server_id, seen_sample> samples;
     for (const load_sample& sample : m.samples)
@@ -141,11 +153,25 @@
   auto it = calls_.find(m.call);
   if (it == calls_.end() || it->second.now_in != phase::kSampling)
     return;
+  LearnFrom(it->second.pool, m.samples, now);
   for (const load_sample& sample : m.samples)
     it->second.samples[sample.server] = {sample, it->second.asked};
   Place(m.call, it->second, now, out);
 }
 
+void dispatcher::impl::LearnFrom(const pool_id& pool,
+                                 const std::vector<load_sample>& samples,
+                                 const moment& now) {
+  probe_habits& habits = habits_[pool];
+  habits.Learn(samples);
+  for (const load_sample& sample : samples) {
+    const bool is_silent =
+        sample.result == probe_result::kUnreachable && habits.tells_load();
+    if (is_silent || sample.result == probe_result::kWrongServer)
+      health_.Unreachable(sample.server, now.steady);
+  }
+}
+
 bool dispatcher::impl::MayUse(const call_state& call,
                               const load_sample& sample,
                               const catalog::backend_server& server,
@@ -172,14 +198,25 @@
                     [&](time_point t) { return t >= sampled; }));
 }
 
+std::uint32_t dispatcher::impl::OwnRunning(const server_id& server) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(calls_.begin(), calls_.end(), [&](const auto& entry) {
+        return entry.second.now_in == phase::kSending &&
+               entry.second.server == server;
+      }));
+}
+
 candidate dispatcher::impl::MakeCandidate(const catalog::backend_server& server,
                                           const seen_sample& seen) const {
-  load_report unknown;
-  unknown.slots = server.slots;
-  candidate c{{server.id, server.address, ""},
-              seen.sample.load.value_or(unknown),
+  candidate c{RefTo(server), seen.sample.load.value_or(load_report()),
               server.data_centre != settings_.data_centre};
-  c.load.running += SendsSince(server.id, seen.asked);
+  if (seen.sample.load) {
+    c.load.running += SendsSince(server.id, seen.asked);
+  } else {
+    // The answer itself shows that one slot was free.
+    c.load.slots = server.slots;
+    c.load.running = OwnRunning(server.id);
+  }
   return c;
 }
 
@@ -273,7 +310,7 @@
   call.predicted = predicted;
   call.tried.insert(to.server.id);
   std::deque<time_point>& sends = own_sends_[to.server.id];
-  while (!sends.empty() && sends.front() + kSampleLimit * 2 < now.steady)
+  while (!sends.empty() && sends.front() + kSendsKept < now.steady)
     sends.pop_front();
   sends.push_back(now.steady);
   ++call.sends;
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -8,6 +8,10 @@
 
 // Pause between two looks at the servers of a pool for which calls wait.
 constexpr milliseconds kRoundPause{15};
+// Longest pause while no server answers; servers that refuse connections are
+// not asked more often, and one that is back is found within a fraction of a
+// target.
+constexpr milliseconds kLongestRoundPause{120};
 // Longest predicted time, as a multiple of the work, for which a slot is given
 // to a call that is late already.
 constexpr double kLateFactor = 2.0;
@@ -15,7 +19,6 @@
 constexpr std::uint32_t kSlowPace = 200;
 // Servers asked in one round.
 constexpr std::size_t kRoundSample = 12;
-constexpr milliseconds kRoundLimit{60};
 // Part of a caller's patience after which a call that found no slot is turned
 // away, so that it may come back while an answer is still of use.
 constexpr double kHoldPart = 0.35;
@@ -116,6 +119,10 @@
   std::vector<const catalog::backend_server*> servers(usable.begin(),
                                                       usable.end());
   std::shuffle(servers.begin(), servers.end(), random_);
+  // Connections to the others may be refused.
+  std::stable_partition(
+      servers.begin(), servers.end(),
+      [this](const catalog::backend_server* s) { return IdleLinksTo(*s) > 0; });
   servers.resize(std::min(servers.size(), kRoundSample));
   queue.next_round = now.steady + kRoundPause;
   if (servers.empty())
@@ -123,7 +130,7 @@
   queue.round = NextRound();
   queue.asked = now.steady;
   rounds_[queue.round] = pool;
-  out.emplace_back(AskFor(queue.round, servers, kRoundLimit));
+  out.emplace_back(AskFor(queue.round, servers, habits_[pool].limit()));
 }
 
 void dispatcher::impl::PlaceWaiting(
@@ -145,7 +152,15 @@
   }
   pool_queue& queue = queues_[pool];
   queue.calls = InOrder(pool, now);
-  queue.next_round = now.steady + kRoundPause;
+  const bool is_any_healthy =
+      std::any_of(samples.begin(), samples.end(), [](const auto& entry) {
+        return entry.second.sample.result == probe_result::kHealthy;
+      });
+  queue.pause = is_any_healthy
+                    ? kRoundPause
+                    : std::min(std::max(queue.pause, kRoundPause) * 2,
+                               kLongestRoundPause);
+  queue.next_round = now.steady + queue.pause;
 }
 
 }  // namespace dotterellead::dispatch
--- a/packages/dispatch/tests/dispatch_world.h
+++ b/packages/dispatch/tests/dispatch_world.h
@@ -23,6 +23,8 @@
   bool is_healthy = true;
   bool is_reachable = true;
   milliseconds cold_left{0};
+  // Otherwise a probe waits for a slot, as a request does.
+  bool tells_load = true;
 };
 
 struct call_result {
@@ -144,6 +146,8 @@
   int probes = 0;
 
  private:
+  static constexpr milliseconds kProbeTime{3};
+
   struct probe_round {
     take_samples ask;
     time_point due;
@@ -171,6 +175,11 @@
     config.routes.push_back(r);
   }
 
+  static bool AnswersProbe(const fake_server& s) {
+    const bool has_slot = s.running < static_cast<int>(s.entry.slots);
+    return s.is_reachable && (s.tells_load || has_slot);
+  }
+
   void AnswerProbes() {
     while (!asked_.empty() && asked_.front().due <= now_.steady) {
       const take_samples ask = asked_.front().ask;
@@ -181,7 +190,7 @@
         load_sample sample;
         sample.server = ref.id;
         const auto it = servers.find(ref.id);
-        if (it != servers.end() && it->second.is_reachable) {
+        if (it != servers.end() && AnswersProbe(it->second)) {
           const fake_server& s = it->second;
           sample.result =
               s.is_healthy ? probe_result::kHealthy : probe_result::kUnhealthy;
@@ -191,7 +200,9 @@
               static_cast<std::uint32_t>(s.running), s.entry.slots);
           load.waiting = static_cast<std::uint32_t>(s.running) - load.running;
           load.pace_percent = s.pace_percent;
-          sample.load = load;
+          if (s.tells_load)
+            sample.load = load;
+          sample.taken = kProbeTime;
           sample.cold_left = s.cold_left;
         }
         taken.samples.push_back(sample);
@@ -216,7 +227,6 @@
   }
 
   void Take(take_samples& e) {
-    constexpr milliseconds kProbeTime{3};
     asked_.push_back({e, now_.steady + kProbeTime});
   }
   void Take(send_attempt& e) {
--- a/packages/dispatch/tests/overload_test.cc
+++ b/packages/dispatch/tests/overload_test.cc
@@ -74,6 +74,53 @@
   CHECK(got["pay"].share_in_target() > 0.97);
 }
 
+TEST_CASE("servers that do not tell their load are found by their free slots") {
+  dispatch_world w = TenServers();
+  for (auto& [id, server] : w.servers)
+    server.tells_load = false;
+  auto got = Play(w, kCapacity * 0.66, milliseconds(10'000));
+  CHECK(got["read"].share_in_target() > 0.95);
+  CHECK(got["pay"].share_in_target() > 0.95);
+  // No request is sent to a server whose slots this host has filled itself.
+  CHECK(w.most_running == 2);
+}
+
+TEST_CASE("own requests count where servers do not tell their load") {
+  dispatch_world w;
+  for (const char* id : {"s0", "s1", "s2", "s3"})
+    w.AddServer(id);
+  for (auto& [id, server] : w.servers)
+    server.tells_load = false;
+  w.Publish();
+  // None of the requests ends, so that each idle server gets one.
+  std::set<server_id> used;
+  for (int i = 0; i < 4; ++i) {
+    const request_id call = w.Call("read");
+    w.Run(milliseconds(200));
+    REQUIRE(w.results[call].sent_to.size() == 1);
+    used.insert(w.results[call].sent_to.front());
+  }
+  CHECK(used.size() == 4);
+}
+
+TEST_CASE("servers that do not answer are not asked at full pace") {
+  dispatch_world w = TenServers();
+  for (auto& [id, server] : w.servers)
+    server.is_reachable = false;
+  for (int i = 0; i < 20; ++i) {
+    w.Call("read");
+    w.Run(milliseconds(100));
+  }
+  // One round of all ten servers takes 60 ms or more, and the pause grows.
+  CHECK(w.probes < 400);
+  // A server that is back serves the next call within half its target.
+  for (auto& [id, server] : w.servers)
+    server.is_reachable = true;
+  const request_id call = w.Call("pay");
+  w.Run(milliseconds(300));
+  CHECK(w.results[call].sent_to.size() == 1);
+}
+
 TEST_CASE("beyond capacity the slots stay full and the urgent go first") {
   dispatch_world w = TenServers();
   auto got = Play(w, kCapacity * 1.5, milliseconds(10'000));
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -19,9 +19,9 @@
 // Bodies up to this size fit the socket's buffer, so that writing them ends
 // even if the server does not read.
 constexpr std::size_t kSmallBody = 8 << 10;
-// An idle connection that does not answer a probe for this long may be dead;
-// the probe is sent again on a new one.
-constexpr milliseconds kReusedProbeLimit{30};
+// An idle connection that does not answer a probe for this part of the limit
+// may be dead; the probe is sent again on a new one.
+constexpr int kReusedProbePart = 2;
 
 std::string_view Header(const answer_message& answer, const std::string& name) {
   const auto it = answer.find(name);
@@ -147,7 +147,7 @@
   result.result = Classify(answer, names);
   if (answer.keep_alive() && !needs_eof && write->is_done && !write->ec &&
       link->buffer.size() == 0)
-    links.Keep(server.address, link);
+    links.Keep(server, link);
   else
     link->stream.close();
   result.answer = std::move(answer);
@@ -189,7 +189,7 @@
   sample.cold_left =
       ReadMillis(Header(answer, names.cold_left)).value_or(milliseconds(0));
   if (answer.keep_alive() && !needs_eof && link->buffer.size() == 0)
-    links.Keep(server.address, link);
+    links.Keep(server, link);
   else
     link->stream.close();
   co_return true;
@@ -204,10 +204,11 @@
   dispatch::load_sample sample;
   sample.server = server.id;
   constexpr milliseconds kAnyIdle{10'000};
-  const time_point ends = std::chrono::steady_clock::now() + limit;
+  const time_point started = std::chrono::steady_clock::now();
+  const time_point ends = started + limit;
   if (link_ptr link = links.TakeIdle(server.address, kAnyIdle))
-    if (co_await ProbeOn(links, names, server, link,
-                         std::min(limit, kReusedProbeLimit), sample))
+    if (co_await ProbeOn(links, names, server, link, limit / kReusedProbePart,
+                         sample))
       co_return sample;
   const auto left = std::chrono::duration_cast<milliseconds>(
       ends - std::chrono::steady_clock::now());
--- a/packages/traffic/src/server_links.cc
+++ b/packages/traffic/src/server_links.cc
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Idle connections that one host keeps to one server. Probes of several calls
-// may run at once; servers bear a few hundred connections from all hosts.
-constexpr std::size_t kIdlePerServer = 4;
 // Servers close idle connections after about ten seconds, and some sooner.
 constexpr milliseconds kLongestIdle{8'000};
 
@@ -55,11 +52,11 @@
   co_return link;
 }
 
-void server_links::Keep(const catalog::endpoint& server, link_ptr link) {
-  std::vector<link_ptr>& links = idle_[server];
+void server_links::Keep(const dispatch::server_ref& server, link_ptr link) {
+  std::vector<link_ptr>& links = idle_[server.address];
   link->last_answer = std::chrono::steady_clock::now();
   link->stream.expires_never();
-  if (links.size() < kIdlePerServer)
+  if (links.size() < server.idle_links)
     links.push_back(std::move(link));
 }
 
--- a/packages/traffic/src/server_links.h
+++ b/packages/traffic/src/server_links.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dotterellead/core.h"
+#include "dotterellead/dispatch.h"
 #include "dotterellead/net.h"
 
 namespace dotterellead::traffic {
@@ -33,8 +34,9 @@
   task<link_ptr> Connect(catalog::endpoint server,
                          milliseconds limit,
                          error_code& ec);
-  // Keeps a connection whose last answer ended cleanly.
-  void Keep(const catalog::endpoint& server, link_ptr link);
+  // Keeps a connection whose last answer ended cleanly, unless the server's
+  // share of this host is used up.
+  void Keep(const dispatch::server_ref& server, link_ptr link);
   // Closes connections that have been idle for too long.
   void CloseStale();
   std::uint64_t connections_made() const { return made_; }
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -100,10 +100,12 @@
                                        dispatch::server_ref server,
                                        milliseconds limit) {
   ++probes_;
-  const dispatch::load_sample sample =
+  dispatch::load_sample sample =
       co_await Probe(links_, settings_.headers, server, limit);
   if (group->is_closed)
     co_return;
+  sample.taken = std::chrono::duration_cast<microseconds>(
+      std::chrono::steady_clock::now() - group->started);
   group->samples.push_back(sample);
   if (sample.result == dispatch::probe_result::kHealthy)
     ++group->reachable;
