Follow the installation's bounds on configuration and leaving servers

Cause: the waits of the tree of hosts and of the store's readers suited a bound of 2 s only. The settings config-s and drain-s now scale them; wider bounds change nothing.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -112,6 +112,7 @@
   f.self = {settings_.host, settings_.data_centre, settings_.peers};
   f.run = incarnation_id(static_cast<std::uint64_t>(clock_.Now().wall.value));
   f.seeds = settings_.seeds;
+  f.news_bound = std::min(settings_.config_bound, settings_.drain_bound);
   if (settings_.is_first_start)
     f.seed_patience = kFirstStartPatience;
   fleet::fleet_callbacks callbacks;
@@ -148,6 +149,7 @@
   };
   adapter::store_settings s;
   s.store = settings_.store;
+  s.news_bound = std::min(settings_.config_bound, settings_.drain_bound);
   if (settings_.is_first_start)
     s.first_news = 2 * kFirstStartPatience;
   store_ = std::make_unique<adapter::store_duty>(s, std::move(callbacks));
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -39,6 +39,8 @@
   std::vector<std::string> seeds;
   std::string level = "info";
   double stop_s = 6;
+  double config_s = 2;
+  double drain_s = 2;
   double repeat_window_s = 10;
   entry_settings s;
   app.add_option("--host", host, "name of this host")
@@ -71,6 +73,12 @@
       ->check(CLI::Range(0.0, 1e6));
   app.add_option("--stop-s", stop_s, "seconds from SIGTERM to the end")
       ->check(CLI::Range(0.1, 600.0));
+  app.add_option("--config-s", config_s,
+                 "seconds within which a configuration must be in force")
+      ->check(CLI::Range(0.5, 600.0));
+  app.add_option("--drain-s", drain_s,
+                 "seconds within which a leaving server gets no more requests")
+      ->check(CLI::Range(0.5, 600.0));
   app.add_option("--repeat-ratio", s.repeat_ratio,
                  "repeats allowed for each request, over all hosts")
       ->check(CLI::Range(0.0, 10.0));
@@ -108,6 +116,8 @@
     if (!seed.empty())
       s.seeds.push_back(ReadEndpoint(seed, "seeds"));
   s.stop_time = FromSeconds(stop_s);
+  s.config_bound = FromSeconds(config_s);
+  s.drain_bound = FromSeconds(drain_s);
   s.repeat_window = FromSeconds(repeat_window_s);
   const std::map<std::string, log_level> levels{
       {"debug", log_level::kDebug},
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -28,6 +28,10 @@
   std::vector<catalog::endpoint> seeds;
   // Longest time from the order to stop until the process ends.
   milliseconds stop_time{6'000};
+  // Within which a configuration, and the leaving of a server, must be in force
+  // on every host.
+  milliseconds config_bound{2'000};
+  milliseconds drain_bound{2'000};
   double repeat_ratio = 0.2;
   milliseconds repeat_window{10'000};
   double repeat_slack = 50;
--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -149,8 +149,14 @@
   // How long seeds that do not answer are asked again before this host takes
   // itself for the root.
   milliseconds seed_patience{120};
+  // Within which news must be on every host that is in touch.
+  milliseconds news_bound{2'000};
 };
 
+// Scales a wait that suits a bound of 2 s on news to the tighter bound of an
+// installation. A wider bound does not stretch it.
+milliseconds Paced(milliseconds at_two_seconds, milliseconds news_bound);
+
 // What the duty tells the rest of the host, on its thread. Must not block.
 struct fleet_callbacks {
   // News from another host.
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -1,7 +1,20 @@
+#include <algorithm>
+
 #include "fleet_impl.h"
 
 namespace dotterellead::fleet {
 
+milliseconds Paced(milliseconds at_two_seconds, milliseconds news_bound) {
+  constexpr milliseconds kUsualBound{2'000};
+  // Waits of less than this share are near the time that messages take.
+  constexpr double kLeastShare = 0.3;
+  const double share = std::clamp(static_cast<double>(news_bound.count()) /
+                                      static_cast<double>(kUsualBound.count()),
+                                  kLeastShare, 1.0);
+  return milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(at_two_seconds.count()) * share));
+}
+
 fleet_duty::impl::impl(fleet_settings settings, fleet_callbacks callbacks)
     : settings_(std::move(settings)),
       callbacks_(std::move(callbacks)),
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -12,19 +12,22 @@
 namespace dotterellead::fleet {
 
 inline constexpr std::size_t kMailbox = 256;
+// The waits that are marked so are for a bound of 2 s on news and are scaled to
+// the installation's.
+
 // How long a sync waits for news at the host above; it is also the beat by
-// which hosts know each other to live.
+// which hosts know each other to live. Scaled.
 inline constexpr milliseconds kSyncWait{400};
-// Time for the answer beyond the wait; round trips take a few ms.
+// Time for the answer beyond the wait; round trips take a few ms. Scaled.
 inline constexpr milliseconds kSyncSlack{350};
-// A host below that has not called for this long is gone.
+// A host below that has not called for this long is gone. Scaled.
 inline constexpr milliseconds kBelowLost{1'500};
 // A host that did not answer is not asked again for this time.
 inline constexpr milliseconds kFailedPause{2'000};
 // Pause between two rounds of a root that looks for hosts above it.
 inline constexpr milliseconds kRootRound{1'000};
 // News that is younger by this much than what the host above has goes up: the
-// host above may be cut off from the store.
+// host above may be cut off from the store. Scaled.
 inline constexpr milliseconds kFresher{500};
 inline constexpr milliseconds kSeedLimit{300};
 inline constexpr milliseconds kSeedPause{40};
@@ -69,6 +72,10 @@
  private:
   void Take(command& c);
 
+  milliseconds Scaled(milliseconds at_two_seconds) const {
+    return Paced(at_two_seconds, settings_.news_bound);
+  }
+
   // Keeps an event for the hosts above and below, unless it is known.
   void TakeEvent(const crash_event& event, bool is_from_above);
 
--- a/packages/fleet/src/host_above.cc
+++ b/packages/fleet/src/host_above.cc
@@ -38,7 +38,7 @@
       hosts_from_above_ = 0;
       stages_from_above_ = 0;
     }
-    if (!co_await SyncWith(*link_, kSyncWait)) {
+    if (!co_await SyncWith(*link_, Scaled(kSyncWait))) {
       LogEvent(log_level::kInfo, "host-above-lost",
                {{"host", host.name.value()}});
       failed_[host.name] = std::chrono::steady_clock::now() + kFailedPause;
@@ -103,7 +103,7 @@
     request.have[i] = board_.upto(kAllStreams[i]);
   const time_point now = std::chrono::steady_clock::now();
   for (std::size_t i = 0; i < kStreams; ++i)
-    if (board_.checked(kAllStreams[i]) > above_checked_[i] + kFresher)
+    if (board_.checked(kAllStreams[i]) > above_checked_[i] + Scaled(kFresher))
       request.news[i] = NewsSince(kAllStreams[i], above_upto_[i], now);
   request.tallies = std::exchange(tallies_, {});
   request.events = std::exchange(events_up_, {});
@@ -112,8 +112,8 @@
   request.have_events = seen_from_above_;
   request.wait = wait;
   const std::string body = EncodeRequest(request);
-  const http_answer answer =
-      co_await link.Call(http::verb::post, path_, body, wait + kSyncSlack);
+  const http_answer answer = co_await link.Call(http::verb::post, path_, body,
+                                                wait + Scaled(kSyncSlack));
   if (answer.status != kOk) {
     // Counted again with the next host above; a second count of a few
     // attempts does not change a verdict.
--- a/packages/fleet/src/hosts_below.cc
+++ b/packages/fleet/src/hosts_below.cc
@@ -14,7 +14,7 @@
     if (ec) {
       LogEvent(log_level::kWarning, "peer-accept-failed",
                {{"problem", ec.message()}});
-      asio::steady_timer pause(io_, kSyncWait);
+      asio::steady_timer pause(io_, Scaled(kSyncWait));
       co_await pause.async_wait(Resume(ec));
       continue;
     }
@@ -133,7 +133,7 @@
 std::vector<host_info> fleet_duty::impl::LiveBelow() {
   const time_point now = std::chrono::steady_clock::now();
   std::erase_if(below_, [&](const auto& entry) {
-    return entry.second.heard + kBelowLost < now;
+    return entry.second.heard + Scaled(kBelowLost) < now;
   });
   std::map<member_id, host_info> live;
   for (const auto& [name, host] : below_) {
