--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -119,6 +119,8 @@
   std::uint64_t have_events = 0;
   // How long the answer may wait for news.
   milliseconds wait{0};
+  // Asks only who is there: the answer holds no news, stages or events.
+  bool is_inquiry = false;
 };
 
 struct sync_answer {
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -244,6 +244,8 @@
   json["stages"] = Number(request.have_stages);
   json["seen"] = Number(request.have_events);
   json["wait"] = Number(static_cast<std::uint64_t>(request.wait.count()));
+  if (request.is_inquiry)
+    json["inquiry"] = true;
   return FormatJson(json);
 }
 
@@ -263,6 +265,7 @@
   request.have_stages = Count(json["stages"]);
   request.have_events = Count(json["seen"]);
   request.wait = milliseconds(static_cast<std::int64_t>(Count(json["wait"])));
+  request.is_inquiry = json["inquiry"].isBool() && json["inquiry"].asBool();
   return request;
 }
 
--- a/packages/fleet/src/host_above.cc
+++ b/packages/fleet/src/host_above.cc
@@ -76,6 +76,8 @@
     http_link link(io_, seed);
     sync_request request;
     request.self = settings_.self;
+    request.have_hosts = hosts_version_;
+    request.is_inquiry = true;
     const std::string body = EncodeRequest(request);
     const http_answer answer =
         co_await link.Call(http::verb::post, path_, body, kSeedLimit);
--- a/packages/fleet/src/hosts_below.cc
+++ b/packages/fleet/src/hosts_below.cc
@@ -93,12 +93,14 @@
 sync_answer fleet_duty::impl::AnswerTo(const sync_request& request) const {
   sync_answer answer;
   answer.self = settings_.self;
-  const time_point now = std::chrono::steady_clock::now();
-  for (std::size_t i = 0; i < kStreams; ++i)
-    answer.news[i] = NewsSince(kAllStreams[i], request.have[i], now);
   if (request.have_hosts != hosts_version_)
     answer.hosts = hosts_;
   answer.hosts_version = hosts_version_;
+  if (request.is_inquiry)
+    return answer;
+  const time_point now = std::chrono::steady_clock::now();
+  for (std::size_t i = 0; i < kStreams; ++i)
+    answer.news[i] = NewsSince(kAllStreams[i], request.have[i], now);
   if (request.have_stages != stages_version_)
     answer.stages = stages_;
   answer.stages_version = stages_version_;
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <thread>
 
+#include "dotterellead/http_link.h"
+
 using namespace dotterellead;
 using namespace dotterellead::fleet;
 
@@ -215,3 +217,33 @@
                         std::chrono::steady_clock::now()});
   CHECK(Within(kPatience, [&] { return third.Heard("s") == "1"; }));
 }
+
+TEST_CASE("an inquiry is answered without the news") {
+  const catalog::endpoint address{0x7f000001, 23421};
+  fleet_host root("a1", "a", 23421, {});
+  root.duty->Publish({stream::kServers,
+                      {Item("server-of-some-name", "its long entry", 1)},
+                      log_offset(2),
+                      std::chrono::steady_clock::now()});
+  std::this_thread::sleep_for(milliseconds(100));
+  sync_request request;
+  request.self = Host("a2", "a", 23422);
+  const auto ask = [&](bool is_inquiry) {
+    request.is_inquiry = is_inquiry;
+    const std::string path = "/sync";
+    const std::string body = EncodeRequest(request);
+    asio::io_context io;
+    http_link link(io, address);
+    http_answer answer;
+    const auto call = [&]() -> task<> {
+      answer =
+          co_await link.Call(http::verb::post, path, body, milliseconds(1'000));
+    };
+    asio::co_spawn(io, call(), asio::detached);
+    io.run();
+    return answer.body;
+  };
+  CHECK(ask(false).find("its long entry") != std::string::npos);
+  CHECK(ask(true).find("its long entry") == std::string::npos);
+  CHECK(DecodeAnswer(ask(true)).self == Host("a1", "a", 23421));
+}
