Ask four servers, not eight, in further rounds of one call

Cause: a request that leaves its data centre costs 2.7 KB between data centres, and most of that are health checks of eight servers.

--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -12,7 +12,7 @@
 // it has as many.
 constexpr std::size_t kFirstSample = 4;
 // Servers asked when none of the first is good enough.
-constexpr std::size_t kNextSample = 8;
+constexpr std::size_t kNextSample = 4;
 // Servers from which a sample is drawn, as a multiple of it. A host that comes
 // back to the same servers finds its connections to them open.
 constexpr std::size_t kSpreadOfSample = 3;
