--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -23,6 +23,13 @@
   return std::move(*json);
 }
 
+// Rows of a list that may be absent.
+const Value& Rows(const Value& v) {
+  if (!v.isNull() && !v.isArray())
+    Fail("a list");
+  return v;
+}
+
 std::string Text(const Value& v) {
   if (!v.isString())
     Fail("a text field");
@@ -42,6 +49,15 @@
                            : Value();
 }
 
+milliseconds Millis(const Value& v) {
+  // Longer times are none that a host waits or remembers.
+  constexpr std::uint64_t kLongest = 1'000'000'000'000;
+  const std::uint64_t count = Count(v);
+  if (count > kLongest)
+    Fail("a time");
+  return milliseconds(static_cast<std::int64_t>(count));
+}
+
 log_offset ToOffset(const Value& v) {
   return v.isNull() ? log_offset() : log_offset(Count(v));
 }
@@ -77,7 +93,7 @@
 
 std::vector<host_info> ToHosts(const Value& rows) {
   std::vector<host_info> hosts;
-  for (const Value& row : rows)
+  for (const Value& row : Rows(rows))
     hosts.push_back(ToHost(row));
   return hosts;
 }
@@ -97,7 +113,7 @@
 
 std::vector<crash_event> ToEvents(const Value& rows) {
   std::vector<crash_event> events;
-  for (const Value& row : rows) {
+  for (const Value& row : Rows(rows)) {
     if (!row.isArray() || row.size() != 4)
       Fail("an event");
     events.push_back({member_id(Text(row[0])), Count(row[2]),
@@ -124,7 +140,7 @@
 
 moves::tallies ToTallies(const Value& rows) {
   moves::tallies tallies;
-  for (const Value& row : rows) {
+  for (const Value& row : Rows(rows)) {
     if (!row.isArray() || row.size() != 6)
       Fail("a tally");
     moves::tally_key key{pool_id(Text(row[0])), ToOffset(row[1]),
@@ -153,7 +169,7 @@
 
 std::vector<moves::stage> ToStages(const Value& rows) {
   std::vector<moves::stage> stages;
-  for (const Value& row : rows) {
+  for (const Value& row : Rows(rows)) {
     if (!row.isArray() || row.size() != 7 ||
         Count(row[4]) >
             static_cast<std::uint64_t>(catalog::move_state::kRolledBack))
@@ -165,7 +181,7 @@
     s.per_mille = static_cast<std::uint32_t>(
         std::min<std::uint64_t>(Count(row[3]), 1000));
     s.state = static_cast<catalog::move_state>(Count(row[4]));
-    s.age = milliseconds(static_cast<std::int64_t>(Count(row[5])));
+    s.age = Millis(row[5]);
     s.step = Count(row[6]);
     stages.push_back(std::move(s));
   }
@@ -197,12 +213,12 @@
   std::array<stream_news, kStreams> news;
   if (rows.isNull())
     return news;
-  if (rows.size() != kStreams)
+  if (!rows.isArray() || rows.size() != kStreams)
     Fail("its news");
   for (Json::ArrayIndex i = 0; i < kStreams; ++i) {
     const Value& json = rows[i];
     stream_news& part = news[i];
-    for (const Value& row : json["items"]) {
+    for (const Value& row : Rows(Member(json, "items"))) {
       if (!row.isArray() || row.size() < 2)
         Fail("an item of news");
       news_item item;
@@ -213,9 +229,9 @@
         item.value = Text(row[2]);
       part.items.push_back(std::move(item));
     }
-    part.upto = ToOffset(json["upto"]);
-    if (!json["age"].isNull())
-      part.age = milliseconds(static_cast<std::int64_t>(Count(json["age"])));
+    part.upto = ToOffset(Member(json, "upto"));
+    if (!Member(json, "age").isNull())
+      part.age = Millis(Member(json, "age"));
   }
   return news;
 }
@@ -252,20 +268,22 @@
 sync_request DecodeRequest(std::string_view text) {
   const Value json = Parse(text);
   sync_request request;
-  request.self = ToHost(json["self"]);
-  request.below = ToHosts(json["below"]);
-  if (json["have"].size() != kStreams)
+  request.self = ToHost(Member(json, "self"));
+  request.below = ToHosts(Member(json, "below"));
+  const Value& have = Member(json, "have");
+  if (!have.isArray() || have.size() != kStreams)
     Fail("its positions");
   for (Json::ArrayIndex i = 0; i < kStreams; ++i)
-    request.have[i] = ToOffset(json["have"][i]);
-  request.news = ToNews(json["news"]);
-  request.tallies = ToTallies(json["tallies"]);
-  request.events = ToEvents(json["events"]);
-  request.have_hosts = Count(json["hosts"]);
-  request.have_stages = Count(json["stages"]);
-  request.have_events = Count(json["seen"]);
-  request.wait = milliseconds(static_cast<std::int64_t>(Count(json["wait"])));
-  request.is_inquiry = json["inquiry"].isBool() && json["inquiry"].asBool();
+    request.have[i] = ToOffset(have[i]);
+  request.news = ToNews(Member(json, "news"));
+  request.tallies = ToTallies(Member(json, "tallies"));
+  request.events = ToEvents(Member(json, "events"));
+  request.have_hosts = Count(Member(json, "hosts"));
+  request.have_stages = Count(Member(json, "stages"));
+  request.have_events = Count(Member(json, "seen"));
+  request.wait = Millis(Member(json, "wait"));
+  request.is_inquiry =
+      Member(json, "inquiry").isBool() && Member(json, "inquiry").asBool();
   return request;
 }
 
@@ -288,16 +306,16 @@
 sync_answer DecodeAnswer(std::string_view text) {
   const Value json = Parse(text);
   sync_answer answer;
-  answer.self = ToHost(json["self"]);
-  answer.news = ToNews(json["news"]);
-  if (!json["hosts"].isNull())
-    answer.hosts = ToHosts(json["hosts"]);
-  answer.hosts_version = Count(json["hosts_version"]);
-  if (!json["stages"].isNull())
-    answer.stages = ToStages(json["stages"]);
-  answer.stages_version = Count(json["stages_version"]);
-  answer.events = ToEvents(json["events"]);
-  answer.events_version = Count(json["events_version"]);
+  answer.self = ToHost(Member(json, "self"));
+  answer.news = ToNews(Member(json, "news"));
+  if (!Member(json, "hosts").isNull())
+    answer.hosts = ToHosts(Member(json, "hosts"));
+  answer.hosts_version = Count(Member(json, "hosts_version"));
+  if (!Member(json, "stages").isNull())
+    answer.stages = ToStages(Member(json, "stages"));
+  answer.stages_version = Count(Member(json, "stages_version"));
+  answer.events = ToEvents(Member(json, "events"));
+  answer.events_version = Count(Member(json, "events_version"));
   return answer;
 }
 
--- a/packages/json/include/dotterellead/json.h
+++ b/packages/json/include/dotterellead/json.h
@@ -15,6 +15,10 @@
 std::optional<Json::Value> ParseJson(std::string_view text,
                                      std::string* problem = nullptr);
 
+// The member of an object. Null if `json` is no object or lacks it, so that
+// texts of others can be read without checking each level.
+const Json::Value& Member(const Json::Value& json, const char* name);
+
 // The compact form, with sorted keys.
 std::string FormatJson(const Json::Value& json);
 
--- a/packages/json/src/json.cc
+++ b/packages/json/src/json.cc
@@ -49,6 +49,10 @@
   return std::nullopt;
 }
 
+const Json::Value& Member(const Json::Value& json, const char* name) {
+  return json.isObject() ? json[name] : Json::Value::nullSingleton();
+}
+
 std::string FormatJson(const Json::Value& json) {
   return Json::writeString(WriterBuilder(), json);
 }
