Send waiting calls to slow servers no more where the cold ones were meant

Cold servers are now the only ones there, and only if they answer in time. A call that no server may take (data centre out of service) is turned away at once. Ruled out: that all sampled servers were slow (20 servers, a third slow). Tests: a waiting call is not sent to a server that cannot answer in time (failed before).

--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -95,6 +95,12 @@
   }
   std::vector<const catalog::backend_server*> servers =
       UsableServers(call, now);
+  // A host that has just started hears of the servers after the configuration.
+  const bool knows_servers = !known_->servers.empty();
+  if (servers.empty() && call.tried.empty() && knows_servers) {
+    Reject(id, call, reject_reason::kNoServer, now, out);
+    return;
+  }
   std::erase_if(servers, [&](const catalog::backend_server* s) {
     return call.samples.contains(s->id);
   });
@@ -245,14 +251,16 @@
     effects& out) {
   for (const catalog::backend_server* s : UsableServers(call, now)) {
     auto seen = samples.find(s->id);
-    if (seen == samples.end())
+    if (seen == samples.end() ||
+        seen->second.sample.cold_left <= milliseconds(0))
       continue;
     const candidate c = MakeCandidate(*s, seen->second);
-    if (!HasFreeSlot(c.load) ||
+    const milliseconds predicted =
+        PredictAnswer(c.load, WorkOf(*call.route).value());
+    if (!HasFreeSlot(c.load) || now.steady + predicted > call.give_up ||
         !MayUse(call, seen->second.sample, *s, now, true))
       continue;
-    Send(id, call, c, PredictAnswer(c.load, WorkOf(*call.route).value()), now,
-         out);
+    Send(id, call, c, predicted, now, out);
     return true;
   }
   return false;
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -304,3 +304,25 @@
   CHECK(refused >= kCalls / 10 - 1);
   CHECK(refused <= kCalls / 10 + 1);
 }
+
+TEST_CASE("a call that no server may take is turned away at once") {
+  dispatch_world w;
+  w.AddServer("s1");
+  w.known.closed_data_centres = {data_centre_id("dc-a")};
+  w.Publish();
+  const request_id call = w.Call("pay");
+  CHECK(w.results[call].rejected == reject_reason::kNoServer);
+  CHECK(w.results[call].retry_after.has_value());
+}
+
+TEST_CASE("a call that comes before the list of servers waits for it") {
+  dispatch_world w;
+  w.Publish();
+  const request_id call = w.Call("pay");
+  w.Run(milliseconds(50));
+  CHECK_FALSE(w.results[call].rejected);
+  w.AddServer("s1");
+  w.Publish();
+  w.Run(milliseconds(50));
+  CHECK(w.results[call].sent_to.size() == 1);
+}
--- a/packages/dispatch/tests/overload_test.cc
+++ b/packages/dispatch/tests/overload_test.cc
@@ -121,6 +121,21 @@
   CHECK(w.results[call].sent_to.size() == 1);
 }
 
+TEST_CASE("a waiting call is not sent to a server that cannot answer in time") {
+  dispatch_world w;
+  w.AddServer("slow");
+  w.AddServer("full");
+  w.servers[server_id("slow")].pace_percent = 800;
+  w.servers[server_id("full")].running = 2;
+  w.Publish();
+  const request_id call = w.Call("pay");
+  w.Run(milliseconds(100));
+  CHECK(w.results[call].sent_to.empty());
+  w.servers[server_id("full")].running = 0;
+  w.Run(milliseconds(100));
+  CHECK(w.results[call].sent_to == std::vector{server_id("full")});
+}
+
 TEST_CASE("beyond capacity the slots stay full and the urgent go first") {
   dispatch_world w = TenServers();
   auto got = Play(w, kCapacity * 1.5, milliseconds(10'000));
