Hold waiting calls for a quarter of their patience; late ones take idle servers only

Kept: 1.2 and 0.25; callers get more answers in time, and the rest hear of it while they can come back.

--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -14,14 +14,14 @@
 constexpr milliseconds kLongestRoundPause{120};
 // Longest predicted time, as a multiple of the work, for which a slot is given
 // to a call that is late already.
-constexpr double kLateFactor = 2.0;
+constexpr double kLateFactor = 1.2;
 // Pace, in percent of the usual one, from which a server is called slow.
 constexpr std::uint32_t kSlowPace = 200;
 // Servers asked in one round.
 constexpr std::size_t kRoundSample = 12;
 // Part of a caller's patience after which a call that found no slot is turned
 // away, so that it may come back while an answer is still of use.
-constexpr double kHoldPart = 0.35;
+constexpr double kHoldPart = 0.25;
 
 }  // namespace
 
