Answer a repeat that finds no room as one that may have run

A call whose first attempt broke, and whose repeat found its time of waiting over, was rejected as not run. Only idempotent calls are repeated after a break, so no rule was broken, but the answer was false. Test failed before.

--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -35,7 +35,10 @@
                call.arrived + std::chrono::duration_cast<time_point::duration>(
                                   patience * kHoldPart));
   if (now.steady >= call.hold_ends) {
-    Reject(id, call, reject_reason::kNoRoom, now, out);
+    Reject(
+        id, call,
+        call.may_have_run() ? reject_reason::kTimedOut : reject_reason::kNoRoom,
+        now, out);
     return;
   }
   call.now_in = phase::kWaiting;
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -326,3 +326,19 @@
   w.Run(milliseconds(50));
   CHECK(w.results[call].sent_to.size() == 1);
 }
+
+TEST_CASE("a repeat that finds no room is not called a request that never ran") {
+  dispatch_world w;
+  w.AddServer("s1");
+  w.AddServer("s2");
+  w.Publish();
+  const request_id call = w.Call("read");
+  w.Run(milliseconds(700));
+  REQUIRE(w.results[call].sent_to.size() == 1);
+  for (auto& [id, server] : w.servers)
+    server.running = 2;
+  w.End(call, attempt_result::kBroken, 0);
+  w.Run(milliseconds(100));
+  REQUIRE(w.results[call].rejected);
+  CHECK_FALSE(IsNotRun(*w.results[call].rejected));
+}
