--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -180,6 +180,9 @@
   static bool AreAllSlow(const std::map<server_id, seen_sample>& samples);
   // Waiting calls of a pool, those first that should be served first.
   std::vector<request_id> InOrder(const pool_id& pool, const moment& now);
+  // The servers that the next round of a pool asks.
+  std::vector<const catalog::backend_server*> PickForRound(const pool_id& pool,
+                                                           const moment& now);
   void StartPoolRound(const pool_id& pool, const moment& now, effects& out);
   void PlaceWaiting(const pool_id& pool,
                     const std::map<server_id, seen_sample>& samples,
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -19,6 +19,9 @@
 constexpr std::uint32_t kSlowPace = 200;
 // Servers asked in one round.
 constexpr std::size_t kRoundSample = 12;
+// Near and far servers, each, among which the rounds of one host choose, so that
+// it finds its connections to them open. Hosts prefer different ones.
+constexpr std::size_t kRoundWindow = 18;
 // Part of a caller's patience after which a call that found no slot is turned
 // away, so that it may come back while an answer is still of use.
 constexpr double kHoldPart = 0.25;
@@ -107,26 +110,45 @@
   return ids;
 }
 
-void dispatcher::impl::StartPoolRound(const pool_id& pool,
-                                      const moment& now,
-                                      effects& out) {
-  pool_queue& queue = queues_[pool];
-  queue.calls = InOrder(pool, now);
-  if (queue.calls.empty())
-    return;
+std::vector<const catalog::backend_server*> dispatcher::impl::PickForRound(
+    const pool_id& pool,
+    const moment& now) {
   // All that some waiting call may use.
-  std::set<const catalog::backend_server*> usable;
-  for (const request_id id : queue.calls)
+  std::set<server_id> usable;
+  for (const request_id id : queues_[pool].calls)
     for (const catalog::backend_server* s : UsableServers(calls_.at(id), now))
-      usable.insert(s);
-  std::vector<const catalog::backend_server*> servers(usable.begin(),
-                                                      usable.end());
+      usable.insert(s->id);
+  // The servers stand in this host's order of preference, near ones first.
+  std::vector<const catalog::backend_server*> servers;
+  std::size_t near = 0;
+  std::size_t far = 0;
+  for (const server_id& id : servers_by_pool_[pool]) {
+    if (!usable.contains(id))
+      continue;
+    const catalog::backend_server& server = known_->servers.at(id);
+    std::size_t& count =
+        server.data_centre == settings_.data_centre ? near : far;
+    if (++count <= kRoundWindow)
+      servers.push_back(&server);
+  }
   std::shuffle(servers.begin(), servers.end(), random_);
   // Connections to the others may be refused.
   std::stable_partition(
       servers.begin(), servers.end(),
       [this](const catalog::backend_server* s) { return IdleLinksTo(*s) > 0; });
   servers.resize(std::min(servers.size(), kRoundSample));
+  return servers;
+}
+
+void dispatcher::impl::StartPoolRound(const pool_id& pool,
+                                      const moment& now,
+                                      effects& out) {
+  pool_queue& queue = queues_[pool];
+  queue.calls = InOrder(pool, now);
+  if (queue.calls.empty())
+    return;
+  const std::vector<const catalog::backend_server*> servers =
+      PickForRound(pool, now);
   queue.next_round = now.steady + kRoundPause;
   if (servers.empty())
     return;
