Tell hosts at once that old news is fresh again; find seeds side by side

After a restart of all hosts the seeds were asked one after the other, 300 ms each while they were still dark; now side by side, 100 ms each.

--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -150,7 +150,7 @@
   std::vector<catalog::endpoint> seeds;
   // How long seeds that do not answer are asked again before this host takes
   // itself for the root.
-  milliseconds seed_patience{120};
+  milliseconds seed_patience{250};
   // Within which news must be on every host that is in touch.
   milliseconds news_bound{2'000};
 };
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -48,8 +48,8 @@
 
 void fleet_duty::impl::Take(command& c) {
   std::visit(overloaded{[this](news_batch& batch) {
-                          if (!board_.Apply(batch).empty())
-                            WakeWaiters();
+                          TakeBatch(batch);
+                          PassUp();
                         },
                         [this](std::vector<moves::stage>& stages) {
                           stages_ = std::move(stages);
@@ -68,6 +68,16 @@
              c);
 }
 
+void fleet_duty::impl::TakeBatch(const news_batch& batch) {
+  const bool closes_gap =
+      batch.checked > board_.checked(batch.source) + Scaled(kGap);
+  const bool has_changes = !board_.Apply(batch).empty();
+  if (closes_gap)
+    ++gaps_closed_;
+  if (closes_gap || has_changes)
+    WakeWaiters();
+}
+
 void fleet_duty::impl::TakeEvent(const crash_event& event, bool is_from_above) {
   std::uint64_t& newest = newest_event_[{event.origin, event.run}];
   if (event.number <= newest)
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -29,7 +29,10 @@
 // News that is younger by this much than what the host above has goes up: the
 // host above may be cut off from the store. Scaled.
 inline constexpr milliseconds kFresher{500};
-inline constexpr milliseconds kSeedLimit{300};
+// News that is younger by this much than the last is told to the hosts below at
+// once, even if nothing changed: their own is old. Scaled.
+inline constexpr milliseconds kGap{1'000};
+inline constexpr milliseconds kSeedLimit{100};
 inline constexpr milliseconds kSeedPause{40};
 // Crashes that are kept for hosts below.
 inline constexpr std::size_t kKeptEvents = 64;
@@ -59,6 +62,15 @@
   time_point heard;
 };
 
+// Questions to all seeds under way.
+struct seed_round {
+  explicit seed_round(asio::io_context& io)
+      : is_over(io, asio::steady_timer::time_point::max()) {}
+  std::size_t open = 0;
+  // Cancelled when the round is over.
+  asio::steady_timer is_over;
+};
+
 class fleet_duty::impl {
  public:
   impl(fleet_settings settings, fleet_callbacks callbacks);
@@ -83,6 +95,9 @@
 
   void WakeWaiters() { news_arrived_.cancel(); }
 
+  // Takes news that this host read or heard.
+  void TakeBatch(const news_batch& batch);
+
   // Hosts below (hosts_below.cc).
 
   task<> Accept();
@@ -123,8 +138,18 @@
   // Learns names behind the seeds' addresses.
   task<> AskSeeds();
 
+  task<> AskSeed(catalog::endpoint seed, std::shared_ptr<seed_round> round);
+
   task<bool> SyncWith(http_link& link, milliseconds wait);
 
+  // Whether this host has news that the one above lacks.
+  bool IsAheadOfAbove() const;
+
+  // Sends such news up at once, beside the sync that waits at the host above.
+  void PassUp();
+
+  task<> RunPassUp();
+
   void TakeFromAbove(const sync_answer& answer);
 
   static constexpr int kOk = 200;
@@ -154,6 +179,11 @@
   bool is_root_ = false;
 
   std::unique_ptr<http_link> link_;
+  // For news that cannot wait until `link_` is free.
+  std::unique_ptr<http_link> second_link_;
+  bool is_passing_up_ = false;
+  // How often old news was replaced by fresh news; ends waits for news.
+  std::uint64_t gaps_closed_ = 0;
   host_info link_host_;
   std::map<member_id, time_point> failed_;
   // What the host above knew when it last answered.
--- a/packages/fleet/src/host_above.cc
+++ b/packages/fleet/src/host_above.cc
@@ -69,20 +69,33 @@
   callbacks_.role_changed(is_root);
 }
 
+// All at the same time: one that is gone must not hold up the others. Returns
+// when all have answered or a host above is known.
 task<> fleet_duty::impl::AskSeeds() {
+  auto round = std::make_shared<seed_round>(io_);
   for (const catalog::endpoint& seed : settings_.seeds) {
     if (seed == settings_.self.address)
       continue;
-    http_link link(io_, seed);
-    sync_request request;
-    request.self = settings_.self;
-    request.have_hosts = hosts_version_;
-    request.is_inquiry = true;
-    const std::string body = EncodeRequest(request);
-    const http_answer answer =
-        co_await link.Call(http::verb::post, path_, body, kSeedLimit);
-    if (answer.status != kOk)
-      continue;
+    ++round->open;
+    asio::co_spawn(io_, AskSeed(seed, round), asio::detached);
+  }
+  if (round->open == 0)
+    co_return;
+  error_code ec;
+  co_await round->is_over.async_wait(Resume(ec));
+}
+
+task<> fleet_duty::impl::AskSeed(catalog::endpoint seed,
+                                 std::shared_ptr<seed_round> round) {
+  http_link link(io_, seed);
+  sync_request request;
+  request.self = settings_.self;
+  request.have_hosts = hosts_version_;
+  request.is_inquiry = true;
+  const std::string body = EncodeRequest(request);
+  const http_answer answer =
+      co_await link.Call(http::verb::post, path_, body, kSeedLimit);
+  if (answer.status == kOk) {
     try {
       const sync_answer decoded = DecodeAnswer(answer.body);
       known_[decoded.self.name] = decoded.self;
@@ -95,6 +108,32 @@
                {{"problem", e.problem()}, {"remedy", e.remedy()}});
     }
   }
+  if (--round->open == 0 || !Candidates().empty())
+    round->is_over.cancel();
+}
+
+bool fleet_duty::impl::IsAheadOfAbove() const {
+  for (std::size_t i = 0; i < kStreams; ++i)
+    if (board_.checked(kAllStreams[i]) > above_checked_[i] + Scaled(kFresher))
+      return true;
+  return false;
+}
+
+void fleet_duty::impl::PassUp() {
+  if (is_root_ || is_passing_up_ || !link_ || !IsAheadOfAbove())
+    return;
+  is_passing_up_ = true;
+  asio::co_spawn(io_, RunPassUp(), asio::detached);
+}
+
+task<> fleet_duty::impl::RunPassUp() {
+  if (!second_link_ || !(second_link_->server() == link_host_.address))
+    second_link_ = std::make_unique<http_link>(io_, link_host_.address);
+  constexpr milliseconds kNoWait{0};
+  // A failure is seen by the sync that waits.
+  if (!co_await SyncWith(*second_link_, kNoWait))
+    second_link_.reset();
+  is_passing_up_ = false;
 }
 
 task<bool> fleet_duty::impl::SyncWith(http_link& link, milliseconds wait) {
--- a/packages/fleet/src/hosts_below.cc
+++ b/packages/fleet/src/hosts_below.cc
@@ -58,6 +58,7 @@
   const time_point now = std::chrono::steady_clock::now();
   below_[request.self.name] = {request.self, request.below, now};
   TakeNews(request.news);
+  PassUp();
   if (!request.tallies.empty())
     callbacks_.tallies_heard(request.tallies);
   for (const crash_event& event : request.events)
@@ -84,7 +85,9 @@
     if (!ec)
       WakeWaiters();
   });
-  while (!HasNewsFor(request) && std::chrono::steady_clock::now() < ends) {
+  const std::uint64_t gaps = gaps_closed_;
+  while (!HasNewsFor(request) && gaps == gaps_closed_ &&
+         std::chrono::steady_clock::now() < ends) {
     error_code ec;
     co_await news_arrived_.async_wait(Resume(ec));
   }
@@ -126,8 +129,7 @@
     if (!part.age)
       continue;
     news_batch batch{kAllStreams[i], part.items, part.upto, now - *part.age};
-    if (!board_.Apply(batch).empty())
-      WakeWaiters();
+    TakeBatch(batch);
     callbacks_.news_heard(std::move(batch));
   }
 }
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -38,6 +38,7 @@
       std::lock_guard lock(mutex);
       for (const news_item& item : b.items)
         heard[item.key] = item.value.value_or("");
+      checked = std::max(checked, b.checked);
     };
     callbacks.hosts_changed = [this](const std::vector<member_id>& live) {
       live_count = live.size();
@@ -62,8 +63,15 @@
     return it == heard.end() ? "" : it->second;
   }
 
+  time_point Checked() {
+    std::lock_guard lock(mutex);
+    return checked;
+  }
+
   std::mutex mutex;
   std::map<std::string, std::string> heard;
+  // When the news that it heard last was complete.
+  time_point checked{};
   std::atomic<std::size_t> live_count = 0;
   std::atomic<std::size_t> stage_count = 0;
   std::atomic<std::uint64_t> attempts = 0;
@@ -247,3 +255,44 @@
   CHECK(ask(true).find("its long entry") == std::string::npos);
   CHECK(DecodeAnswer(ask(true)).self == Host("a1", "a", 23421));
 }
+
+TEST_CASE("that nothing changed is told at once where news had grown old") {
+  const std::vector<catalog::endpoint> seeds = {{0x7f000001, 23431},
+                                                {0x7f000001, 23433}};
+  fleet_host root("a1", "a", 23431, seeds);
+  fleet_host near("a2", "a", 23432, seeds);
+  fleet_host far("b1", "b", 23433, seeds);
+  fleet_host leaf("b2", "b", 23434, seeds);
+  CHECK(Within(kPatience, [&] { return leaf.live_count == 4; }));
+  const auto publish = [](fleet_host& host) {
+    const time_point now = std::chrono::steady_clock::now();
+    host.duty->Publish({stream::kServers, {}, log_offset(2), now});
+    return now;
+  };
+  publish(root);
+  CHECK(Within(kPatience, [&] { return near.Checked() != time_point(); }));
+  // The root is cut off from the store; a leaf finds that nothing changed. A
+  // sync waits for 400 ms at each host.
+  std::this_thread::sleep_for(milliseconds(1'500));
+  const time_point now = publish(leaf);
+  constexpr milliseconds kAtOnce{300};
+  CHECK(Within(kAtOnce, [&] { return root.Checked() >= now; }));
+  CHECK(Within(kAtOnce, [&] { return near.Checked() >= now; }));
+}
+
+TEST_CASE("seeds that do not answer do not hold up the others") {
+  // Accepts connections and says nothing.
+  asio::io_context io;
+  const catalog::endpoint silent{0x7f000001, 23441};
+  const catalog::endpoint good{0x7f000001, 23442};
+  tcp::acceptor acceptor(io, ToTcp(silent));
+  fleet_host root("a1", "a", good.port, {});
+  CHECK(Within(kPatience, [&] { return root.is_root.load(); }));
+  const time_point started = std::chrono::steady_clock::now();
+  fleet_host late("a2", "a", 23443,
+                  {silent, silent, silent, silent, silent, silent, good});
+  CHECK(Within(kPatience, [&] { return root.live_count == 2; }));
+  // Each of the silent ones is given 100 ms.
+  constexpr milliseconds kOneAfterTheOther{600};
+  CHECK(std::chrono::steady_clock::now() - started < kOneAfterTheOther);
+}
