--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -8,8 +8,9 @@
 
 namespace {
 
-// Messages that wait for the dispatcher.
-constexpr std::size_t kDispatchRing = 1024;
+// Messages that wait for the dispatcher: those of a quarter of a second at 100
+// calls a second, ten messages each.
+constexpr std::size_t kDispatchRing = 256;
 // Shortest time between two looks at timers of calls.
 constexpr milliseconds kDispatchTick{2};
 // After the order to stop, callers learn by two missed ready checks, one a
