--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kFirstSample = 4;
 // Servers asked when none of the first is good enough.
 constexpr std::size_t kNextSample = 4;
+// Rounds of one call, after which it takes the best that was found or waits
+// with the others of its pool.
+constexpr int kMostRounds = 3;
 // Servers from which a sample is drawn, as a multiple of it. A host that comes
 // back to the same servers finds its connections to them open.
 constexpr std::size_t kSpreadOfSample = 3;
@@ -280,7 +283,8 @@
   }
   const std::vector<const catalog::backend_server*> usable =
       UsableServers(call, now);
-  const bool has_more = std::any_of(usable.begin(), usable.end(),
+  const bool has_more = call.rounds < kMostRounds &&
+                        std::any_of(usable.begin(), usable.end(),
                                     [&](const catalog::backend_server* s) {
                                       return !call.samples.contains(s->id);
                                     });
--- a/packages/dispatch/tests/overload_test.cc
+++ b/packages/dispatch/tests/overload_test.cc
@@ -136,6 +136,20 @@
   CHECK(w.results[call].sent_to == std::vector{server_id("full")});
 }
 
+TEST_CASE(
+    "a call that finds no slot does not ask all servers of a large pool") {
+  dispatch_world w;
+  for (int i = 0; i < 60; ++i)
+    w.AddServer("s" + std::to_string(i));
+  for (auto& [id, server] : w.servers)
+    server.running = 2;
+  w.Publish();
+  w.Call("read");
+  // Before the first round of the queue, which all waiting calls share.
+  w.Run(milliseconds(20));
+  CHECK(w.probes <= 12);
+}
+
 TEST_CASE("beyond capacity the slots stay full and the urgent go first") {
   dispatch_world w = TenServers();
   auto got = Play(w, kCapacity * 1.5, milliseconds(10'000));
