--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -64,6 +64,7 @@
   d.repeat_ratio = settings_.repeat_ratio;
   d.repeat_window = settings_.repeat_window;
   d.repeat_slack = settings_.repeat_slack;
+  d.probe_rate = settings_.probe_rate;
   d.seed = StableHash(settings_.host.value()) ^
            static_cast<std::uint64_t>(clock_.Now().wall.value);
   dispatcher_ = std::make_unique<duty<dispatch::dispatcher>>(
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -88,6 +88,9 @@
   app.add_option("--repeat-slack", s.repeat_slack,
                  "repeats beyond the ratio in one window, over all hosts")
       ->check(CLI::Range(0.0, 1e6));
+  app.add_option("--probes-per-s", s.probe_rate,
+                 "health checks that one server bears from all hosts a second")
+      ->check(CLI::Range(0.1, 1e6));
   app.add_option("--log-level", level, "debug, info, warning or error")
       ->envname("DOTTERELLEAD_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -35,6 +35,7 @@
   double repeat_ratio = 0.2;
   milliseconds repeat_window{10'000};
   double repeat_slack = 50;
+  double probe_rate = 60;
   double expose_share = 0.1;
   double expose_slack = 50;
   log_level level = log_level::kInfo;
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -211,6 +211,9 @@
   double repeat_ratio = 0.2;
   milliseconds repeat_window{10'000};
   double repeat_slack = 50;
+  // Probes per second that one server bears from all hosts, on average; from
+  // the operator's limits.
+  double probe_rate = 60;
   std::uint64_t seed = 1;
 };
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -91,9 +91,20 @@
            {"routes", fmt::format("{}", known_->config->routes.size())}});
   }
   SortServers();
+  ShareProbes(now);
   SettleEarly(now, out);
 }
 
+void dispatcher::impl::ShareProbes(const moment& now) {
+  // Part of what servers bear that is used; the rest is for hosts that this one
+  // does not know yet.
+  constexpr double kUsedPart = 0.8;
+  probes_.SetRate(settings_.probe_rate * kUsedPart *
+                      static_cast<double>(known_->servers.size()) /
+                      static_cast<double>(cold_.host_count()),
+                  now.steady);
+}
+
 void dispatcher::impl::SortServers() {
   servers_by_pool_.clear();
   for (const auto& [id, server] : known_->servers)
@@ -131,10 +142,12 @@
        {"per_mille", fmt::format("{}", m.per_mille)}});
 }
 
-void dispatcher::impl::On(const hosts_changed& m, const moment&, effects&) {
+void dispatcher::impl::On(const hosts_changed& m, const moment& now, effects&) {
   cold_.SetHosts(m.live);
-  if (known_)
+  if (known_) {
     SortServers();
+    ShareProbes(now);
+  }
 }
 
 void dispatcher::impl::On(const crash_heard& m, const moment& now, effects&) {
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -12,6 +12,7 @@
 #include "crash_guard.h"
 #include "dotterellead/dispatch.h"
 #include "placement.h"
+#include "probe_budget.h"
 #include "probe_habits.h"
 #include "retry_budget.h"
 #include "server_health.h"
@@ -123,6 +124,7 @@
   version_rule RuleOf(const pool_id& pool) const;
 
   void SortServers();
+  void ShareProbes(const moment& now);
   void SortByPreference(std::vector<server_id>& servers) const;
   std::uint32_t IdleLinksTo(const catalog::backend_server& server) const;
   server_ref RefTo(const catalog::backend_server& server) const;
@@ -240,6 +242,7 @@
   crash_guard crashes_;
   std::map<server_id, std::deque<time_point>> own_sends_;
   std::map<pool_id, probe_habits> habits_;
+  probe_budget probes_;
   std::map<catalog::route_name, work_estimate> work_;
   std::map<pool_id, retry_budget> budgets_;
   std::map<catalog::route_name, std::vector<double>> pool_credit_;
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -124,6 +124,7 @@
   call.now_in = phase::kSampling;
   call.asked = now.steady;
   ++call.rounds;
+  probes_.Spend(servers.size(), now.steady);
   const auto left =
       std::chrono::duration_cast<milliseconds>(call.give_up - now.steady);
   out.emplace_back(
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -19,8 +19,10 @@
 constexpr std::uint32_t kSlowPace = 200;
 // Servers asked in one round.
 constexpr std::size_t kRoundSample = 12;
-// Near and far servers, each, among which the rounds of one host choose, so that
-// it finds its connections to them open. Hosts prefer different ones.
+// Fewer are not worth a round; it waits until the budget has room for them.
+constexpr std::size_t kLeastRound = 4;
+// Near and far servers, each, among which the rounds of one host choose, so
+// that it finds its connections to them open. Hosts prefer different ones.
 constexpr std::size_t kRoundWindow = 18;
 // Part of a caller's patience after which a call that found no slot is turned
 // away, so that it may come back while an answer is still of use.
@@ -147,11 +149,21 @@
   queue.calls = InOrder(pool, now);
   if (queue.calls.empty())
     return;
-  const std::vector<const catalog::backend_server*> servers =
-      PickForRound(pool, now);
+  std::vector<const catalog::backend_server*> servers = PickForRound(pool, now);
   queue.next_round = now.steady + kRoundPause;
   if (servers.empty())
     return;
+  if (const std::size_t room = probes_.room(now.steady);
+      room < servers.size()) {
+    if (room < std::min(servers.size(), kLeastRound)) {
+      queue.next_round =
+          now.steady +
+          std::max(kRoundPause, probes_.WaitFor(kLeastRound, now.steady));
+      return;
+    }
+    servers.resize(room);
+  }
+  probes_.Spend(servers.size(), now.steady);
   queue.round = NextRound();
   queue.asked = now.steady;
   rounds_[queue.round] = pool;
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -327,7 +327,8 @@
   CHECK(w.results[call].sent_to.size() == 1);
 }
 
-TEST_CASE("a repeat that finds no room is not called a request that never ran") {
+TEST_CASE(
+    "a repeat that finds no room is not called a request that never ran") {
   dispatch_world w;
   w.AddServer("s1");
   w.AddServer("s2");
--- a/packages/dispatch/tests/overload_test.cc
+++ b/packages/dispatch/tests/overload_test.cc
@@ -150,6 +150,31 @@
   CHECK(w.probes <= 12);
 }
 
+TEST_CASE("probes stay within what servers bear, however long calls wait") {
+  dispatch_settings settings = dispatch_world::DefaultSettings();
+  settings.probe_rate = 60;
+  dispatch_world w(settings);
+  w.AddServer("s1");
+  w.AddServer("s2");
+  for (auto& [id, server] : w.servers)
+    server.running = 2;
+  w.Publish();
+  // Twelve of thirteen hosts are elsewhere and use their part.
+  hosts_changed hosts;
+  for (int i = 1; i <= 13; ++i)
+    hosts.live.push_back(member_id("host-" + std::to_string(i)));
+  w.Step(hosts);
+  const int seconds = 40;
+  for (int i = 0; i < seconds * 5; ++i) {
+    w.Call("read");
+    w.Run(milliseconds(200));
+  }
+  const double bound = 60.0 * 2 / 13 * seconds;
+  CHECK(w.probes <= bound);
+  // And they do not end.
+  CHECK(w.probes >= bound / 2);
+}
+
 TEST_CASE("beyond capacity the slots stay full and the urgent go first") {
   dispatch_world w = TenServers();
   auto got = Play(w, kCapacity * 1.5, milliseconds(10'000));
