--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -218,7 +218,7 @@
   for (Json::ArrayIndex i = 0; i < kStreams; ++i) {
     const Value& json = rows[i];
     stream_news& part = news[i];
-    for (const Value& row : Rows(Member(json, "items"))) {
+    for (const Value& row : Rows(MemberOrNull(json, "items"))) {
       if (!row.isArray() || row.size() < 2)
         Fail("an item of news");
       news_item item;
@@ -229,9 +229,9 @@
         item.value = Text(row[2]);
       part.items.push_back(std::move(item));
     }
-    part.upto = ToOffset(Member(json, "upto"));
-    if (!Member(json, "age").isNull())
-      part.age = Millis(Member(json, "age"));
+    part.upto = ToOffset(MemberOrNull(json, "upto"));
+    if (!MemberOrNull(json, "age").isNull())
+      part.age = Millis(MemberOrNull(json, "age"));
   }
   return news;
 }
@@ -268,22 +268,22 @@
 sync_request DecodeRequest(std::string_view text) {
   const Value json = Parse(text);
   sync_request request;
-  request.self = ToHost(Member(json, "self"));
-  request.below = ToHosts(Member(json, "below"));
-  const Value& have = Member(json, "have");
+  request.self = ToHost(MemberOrNull(json, "self"));
+  request.below = ToHosts(MemberOrNull(json, "below"));
+  const Value& have = MemberOrNull(json, "have");
   if (!have.isArray() || have.size() != kStreams)
     Fail("its positions");
   for (Json::ArrayIndex i = 0; i < kStreams; ++i)
     request.have[i] = ToOffset(have[i]);
-  request.news = ToNews(Member(json, "news"));
-  request.tallies = ToTallies(Member(json, "tallies"));
-  request.events = ToEvents(Member(json, "events"));
-  request.have_hosts = Count(Member(json, "hosts"));
-  request.have_stages = Count(Member(json, "stages"));
-  request.have_events = Count(Member(json, "seen"));
-  request.wait = Millis(Member(json, "wait"));
-  request.is_inquiry =
-      Member(json, "inquiry").isBool() && Member(json, "inquiry").asBool();
+  request.news = ToNews(MemberOrNull(json, "news"));
+  request.tallies = ToTallies(MemberOrNull(json, "tallies"));
+  request.events = ToEvents(MemberOrNull(json, "events"));
+  request.have_hosts = Count(MemberOrNull(json, "hosts"));
+  request.have_stages = Count(MemberOrNull(json, "stages"));
+  request.have_events = Count(MemberOrNull(json, "seen"));
+  request.wait = Millis(MemberOrNull(json, "wait"));
+  request.is_inquiry = MemberOrNull(json, "inquiry").isBool() &&
+                       MemberOrNull(json, "inquiry").asBool();
   return request;
 }
 
@@ -306,16 +306,16 @@
 sync_answer DecodeAnswer(std::string_view text) {
   const Value json = Parse(text);
   sync_answer answer;
-  answer.self = ToHost(Member(json, "self"));
-  answer.news = ToNews(Member(json, "news"));
-  if (!Member(json, "hosts").isNull())
-    answer.hosts = ToHosts(Member(json, "hosts"));
-  answer.hosts_version = Count(Member(json, "hosts_version"));
-  if (!Member(json, "stages").isNull())
-    answer.stages = ToStages(Member(json, "stages"));
-  answer.stages_version = Count(Member(json, "stages_version"));
-  answer.events = ToEvents(Member(json, "events"));
-  answer.events_version = Count(Member(json, "events_version"));
+  answer.self = ToHost(MemberOrNull(json, "self"));
+  answer.news = ToNews(MemberOrNull(json, "news"));
+  if (!MemberOrNull(json, "hosts").isNull())
+    answer.hosts = ToHosts(MemberOrNull(json, "hosts"));
+  answer.hosts_version = Count(MemberOrNull(json, "hosts_version"));
+  if (!MemberOrNull(json, "stages").isNull())
+    answer.stages = ToStages(MemberOrNull(json, "stages"));
+  answer.stages_version = Count(MemberOrNull(json, "stages_version"));
+  answer.events = ToEvents(MemberOrNull(json, "events"));
+  answer.events_version = Count(MemberOrNull(json, "events_version"));
   return answer;
 }
 
--- a/packages/json/include/dotterellead/json.h
+++ b/packages/json/include/dotterellead/json.h
@@ -17,7 +17,7 @@
 
 // The member of an object. Null if `json` is no object or lacks it, so that
 // texts of others can be read without checking each level.
-const Json::Value& Member(const Json::Value& json, const char* name);
+const Json::Value& MemberOrNull(const Json::Value& json, const char* name);
 
 // The compact form, with sorted keys.
 std::string FormatJson(const Json::Value& json);
--- a/packages/json/src/json.cc
+++ b/packages/json/src/json.cc
@@ -49,7 +49,7 @@
   return std::nullopt;
 }
 
-const Json::Value& Member(const Json::Value& json, const char* name) {
+const Json::Value& MemberOrNull(const Json::Value& json, const char* name) {
   return json.isObject() ? json[name] : Json::Value::nullSingleton();
 }
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -23,6 +23,7 @@
   app.add_option("--first-port", settings.first_port)
       ->check(CLI::Range(1'024, 60'000));
   app.add_option("--logs", settings.log_folder, "folder for the hosts' logs");
+  app.add_flag("--calm", settings.is_calm, "no faults; prints costs");
   CLI11_PARSE(app, argc, argv);
   soak_world world(settings);
   const violations broken = world.Run();
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -8,6 +8,8 @@
 
 #include <cstdlib>
 
+#include "host_costs.h"
+
 namespace dotterellead::soak {
 
 namespace {
@@ -399,7 +401,8 @@
     StartHost(host);
   asio::co_spawn(io_, ReportServers(), asio::detached);
   asio::co_spawn(io_, CallLoop(), asio::detached);
-  asio::co_spawn(io_, InjectFaults(), asio::detached);
+  if (!settings_.is_calm)
+    asio::co_spawn(io_, InjectFaults(), asio::detached);
   io_.run_until(ends_ + kSlack);
   for (const std::string& id : once_ids_)
     if (log_.runs[id] > 1)
@@ -415,7 +418,20 @@
                                   served_at_end_, calls_at_end_));
   fmt::print("seed {}: {} calls, {} served, {} of {} at the end\n",
              settings_.seed, calls_, served_, served_at_end_, calls_at_end_);
+  if (settings_.is_calm)
+    PrintCosts();
   return broken_;
 }
 
+void soak_world::PrintCosts() const {
+  for (const entry_process& host : hosts_) {
+    const host_costs costs = ReadCosts(host.pid);
+    fmt::print("{}: {} kB private, {} threads, {:.2f} s of processor time\n",
+               host.name, costs.private_kb, costs.threads,
+               costs.processor_seconds);
+  }
+  fmt::print("store calls of all hosts: {:.2f} a second\n",
+             static_cast<double>(store_->calls()) / settings_.seconds);
+}
+
 }  // namespace dotterellead::soak
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -24,6 +24,8 @@
   double calls_per_second = 40;
   // Ports in use begin here.
   int first_port = 25'000;
+  // No faults; what the hosts cost is printed.
+  bool is_calm = false;
   // Where the hosts' logs go; empty: nowhere.
   std::string log_folder;
 };
@@ -79,6 +81,7 @@
   task<> ChangeConfig();
   void Heal();
   int Draw(int below);
+  void PrintCosts() const;
 
   soak_settings settings_;
   std::mt19937_64 random_;
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -104,6 +104,7 @@
 }
 
 task<answer_message> store_standin::Answer(const request_message& request) {
+  ++calls_;
   if (fault_ == store_fault::kBusy)
     co_return Status(http::status::service_unavailable);
   if (fault_ == store_fault::kSlow)
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -23,6 +23,7 @@
   // Drops the history; the newest records of all keys stay.
   void Compact();
   store_fault fault() const { return fault_; }
+  std::uint64_t calls() const { return calls_; }
 
  private:
   struct record {
@@ -49,6 +50,7 @@
   asio::steady_timer appended_;
   std::map<std::string, topic_log> topics_;
   store_fault fault_ = store_fault::kNone;
+  std::uint64_t calls_ = 0;
 };
 
 }  // namespace dotterellead::soak
