--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -149,6 +149,15 @@
             milliseconds predicted,
             const moment& now,
             effects& out);
+  // Samples of a pool's waiting calls, and of a server that broke a connection.
+  void TakeRound(const pool_id& pool,
+                 const samples_taken& m,
+                 const moment& now,
+                 effects& out);
+  void TakeCrashCheck(request_fingerprint fingerprint,
+                      const samples_taken& m,
+                      const moment& now,
+                      effects& out);
   void LearnFrom(const pool_id& pool,
                  const std::vector<load_sample>& samples,
                  const moment& now);
--- a/packages/dispatch/src/placing.cc
+++ b/packages/dispatch/src/placing.cc
@@ -137,27 +137,13 @@
   if (auto round = rounds_.find(m.call); round != rounds_.end()) {
     const pool_id pool = round->second;
     rounds_.erase(round);
-    LearnFrom(pool, m.samples, now);
-    pool_queue& queue = queues_[pool];
-    std::map<server_id, seen_sample> samples;
-    for (const load_sample& sample : m.samples)
-      samples[sample.server] = {sample, queue.asked};
-    queue.round = request_id();
-    PlaceWaiting(pool, samples, now, out);
+    TakeRound(pool, m, now, out);
     return;
   }
   if (auto check = crash_checks_.find(m.call); check != crash_checks_.end()) {
     const request_fingerprint fingerprint = check->second;
     crash_checks_.erase(check);
-    if (m.samples.empty() ||
-        m.samples.front().result != probe_result::kUnreachable)
-      return;
-    crashes_.Count(fingerprint, now.steady);
-    Log(out, "server-crashed",
-        {{"server", m.samples.front().server.value()},
-         {"fingerprint", fmt::format("{:016x}", fingerprint.value())},
-         {"crashes", fmt::format("{}", crashes_.count(fingerprint))}});
-    out.emplace_back(crash_seen{fingerprint});
+    TakeCrashCheck(fingerprint, m, now, out);
     return;
   }
   auto it = calls_.find(m.call);
@@ -169,6 +155,34 @@
   Place(m.call, it->second, now, out);
 }
 
+void dispatcher::impl::TakeRound(const pool_id& pool,
+                                 const samples_taken& m,
+                                 const moment& now,
+                                 effects& out) {
+  LearnFrom(pool, m.samples, now);
+  pool_queue& queue = queues_[pool];
+  std::map<server_id, seen_sample> samples;
+  for (const load_sample& sample : m.samples)
+    samples[sample.server] = {sample, queue.asked};
+  queue.round = request_id();
+  PlaceWaiting(pool, samples, now, out);
+}
+
+void dispatcher::impl::TakeCrashCheck(request_fingerprint fingerprint,
+                                      const samples_taken& m,
+                                      const moment& now,
+                                      effects& out) {
+  if (m.samples.empty() ||
+      m.samples.front().result != probe_result::kUnreachable)
+    return;
+  crashes_.Count(fingerprint, now.steady);
+  Log(out, "server-crashed",
+      {{"server", m.samples.front().server.value()},
+       {"fingerprint", fmt::format("{:016x}", fingerprint.value())},
+       {"crashes", fmt::format("{}", crashes_.count(fingerprint))}});
+  out.emplace_back(crash_seen{fingerprint});
+}
+
 void dispatcher::impl::LearnFrom(const pool_id& pool,
                                  const std::vector<load_sample>& samples,
                                  const moment& now) {
--- a/packages/dispatch/src/waiting.cc
+++ b/packages/dispatch/src/waiting.cc
@@ -153,16 +153,14 @@
   queue.next_round = now.steady + kRoundPause;
   if (servers.empty())
     return;
-  if (const std::size_t room = probes_.room(now.steady);
-      room < servers.size()) {
-    if (room < std::min(servers.size(), kLeastRound)) {
-      queue.next_round =
-          now.steady +
-          std::max(kRoundPause, probes_.WaitFor(kLeastRound, now.steady));
-      return;
-    }
-    servers.resize(room);
+  const std::size_t least = std::min(servers.size(), kLeastRound);
+  const std::size_t room = probes_.room(now.steady);
+  if (room < least) {
+    queue.next_round =
+        now.steady + std::max(kRoundPause, probes_.WaitFor(least, now.steady));
+    return;
   }
+  servers.resize(std::min(servers.size(), room));
   probes_.Spend(servers.size(), now.steady);
   queue.round = NextRound();
   queue.asked = now.steady;
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Commands of the dispatcher that wait for the event loop: those of a quarter of
-// a second at 100 calls a second, ten commands each.
+// Commands of the dispatcher that wait for the event loop: those of a quarter
+// of a second at 100 calls a second, ten commands each.
 constexpr std::size_t kCommandRing = 256;
 constexpr milliseconds kSweepInterval{2'000};
 // Once two servers have answered, the others get as long again, and at least
