--- a/review/build.sh
+++ b/review/build.sh
@@ -7,6 +7,7 @@
 for source in net world; do
   g++ "${flags[@]}" -c "$source.cpp" -o "build/$source.o"
 done
-for scenario in rolling_stop cold_owners orphaned_rollout stale_read crashing_request; do
+for scenario in rolling_stop cold_owners orphaned_rollout stale_read crashing_request \
+  second_order; do
   g++ "${flags[@]}" "$scenario.cpp" build/net.o build/world.o -o "build/$scenario"
 done
