Let the soak's callers keep connections, and play planned work alone

The soak opened a connection for each call, to any host, ready or not, so it could not show what callers of a stopping host see. Now half of the callers keep their connection until it is closed, and new ones go through a stand-in for the balancer. Stops come in series and overlap, several hosts are killed at once, servers shed, one request in twelve takes 600 ms.

Checked in addition: a request that was sent whole is answered while only planned work goes on; repeats at the servers of a pool over all hosts, in any 10 s.

--- a/tests/soak/server_standin.h
+++ b/tests/soak/server_standin.h
@@ -14,6 +14,10 @@
 // What all servers ran, by the caller's id of the request.
 struct run_log {
   std::map<std::string, int> runs;
+  // Requests that reached a server, whether it ran them or not.
+  std::map<std::string, int> arrivals;
+  // Arrivals beyond the first of each request, by pool.
+  std::map<std::string, std::vector<time_point>> repeats;
   // Pools that ran each request.
   std::map<std::string, std::string> pool_of;
   // Starts on servers that had announced their leaving for too long.
@@ -61,6 +65,8 @@
     asked_time_ = time;
   }
   void SetLosesAnswers(bool loses) { loses_answers_ = loses; }
+  // Rejects two of three requests, as if it were full.
+  void SetSheds(bool sheds) { sheds_ = sheds; }
   void SetSlow(bool is_slow) { is_slow_ = is_slow; }
   bool is_up() const { return acceptor_.is_open(); }
   bool is_leaving() const { return leaving_since_ != time_point(); }
@@ -93,6 +99,8 @@
   int running_ = 0;
   int waiting_ = 0;
   bool loses_answers_ = false;
+  bool sheds_ = false;
+  int shed_count_ = 0;
   bool is_slow_ = false;
   time_point leaving_since_{};
   bool is_leaving_reported_ = false;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -25,6 +25,13 @@
   app.add_option("--first-port", settings.first_port)
       ->check(CLI::Range(1'024, 60'000));
   app.add_option("--logs", settings.log_folder, "folder for the hosts' logs");
+  app.add_option("--repeat-slack", settings.repeat_allowance,
+                 "repeats allowed in 10 s beyond the ratio, over all hosts")
+      ->check(CLI::Range(1.0, 1'000.0));
+  app.add_flag("--shedding", settings.is_shedding,
+               "servers reject most requests, as under overload");
+  app.add_flag("--planned", settings.is_planned,
+               "stops, reloads and changes only");
   app.add_flag("--calm", settings.is_calm, "no faults; prints costs");
   CLI11_PARSE(app, argc, argv);
   soak_world world(settings);
