Reject what may outlast a stopping host, and close its listener first

Cause: a stopping host took each request until its end at 5.6 s, however long it might last, and closed its listening socket only then. The balancer sends callers to stopping hosts when fewer than half of a data centre's hosts are ready.

Evidence: the log of the stopping host: stopping at 0 s, placed with left_ms=1998 at 5.56 s, stopped at 5.60 s; the server of that request reports a closed connection at the same time. Of all lost requests none was sent earlier than 3.0 s after SIGTERM.

Why it works: after SIGTERM a request goes to a server only if its timeout ends before the requests of this host must end, so each that is taken is answered; others are rejected at once as not run. The listening socket is closed while connections are still served, and the process ends when nothing is open. A request whose caller has disconnected counts as open.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -1,5 +1,7 @@
 #include "entry_host.h"
 
+#include "stop_sequence.h"
+
 #include <fmt/core.h>
 
 #include <random>
@@ -14,12 +16,7 @@
 constexpr std::size_t kDispatchRingCapacity = 256;
 // Minimum time between two checks of the requests' timers.
 constexpr milliseconds kDispatchTick{2};
-// After SIGTERM callers learn of the stop by two failed readiness checks, which
-// are one second apart. Until then the host accepts new connections.
-constexpr milliseconds kAcceptTimeBeforeDrain{2'600};
-// Time reserved at the end of the stop timeout for closing connections.
-constexpr milliseconds kStopMargin{400};
-constexpr milliseconds kDrainPollInterval{50};
+constexpr milliseconds kStopPollInterval{50};
 // At the first start of all hosts, when there are no callers yet, hosts
 // discover each other before they read the store.
 constexpr milliseconds kFirstStartDiscoveryTimeout{600};
@@ -243,17 +240,33 @@
 
 void entry_host::Drain() {
   const time_point started = std::chrono::steady_clock::now();
+  stop_sequence sequence(started, settings_.stop_timeout);
   is_draining_ = true;
   traffic_->SetReady(false);
-  std::this_thread::sleep_for(
-      std::min(kAcceptTimeBeforeDrain, settings_.stop_timeout / 2));
-  traffic_->StartDrain();
-  const time_point deadline = started + settings_.stop_timeout - kStopMargin;
-  // New connections are still accepted and served.
-  while (std::chrono::steady_clock::now() < deadline &&
-         traffic_->counters().open_caller_connections > 0)
-    std::this_thread::sleep_for(kDrainPollInterval);
-  traffic_->StopAccepting();
+  Post(*dispatcher_, dispatch::shutdown_started{sequence.requests_end_at()});
+  std::this_thread::sleep_until(sequence.announced_at());
+  stop_phase phase = stop_phase::kAnnouncing;
+  while (phase != stop_phase::kEnded) {
+    const traffic::traffic_counters counts = traffic_->counters();
+    const stop_phase next =
+        sequence.Advance(std::chrono::steady_clock::now(),
+                         {counts.is_accepting, counts.open_caller_connections,
+                          counts.open_requests});
+    if (next != phase) {
+      phase = next;
+      LogEvent(
+          log_level::kInfo, "stop-phase",
+          {{"phase", std::string(to_string(phase))},
+           {"connections", fmt::format("{}", counts.open_caller_connections)},
+           {"requests", fmt::format("{}", counts.open_requests)}});
+      if (phase == stop_phase::kDraining)
+        traffic_->StartDrain();
+      else if (phase == stop_phase::kClosing)
+        traffic_->StopAccepting();
+    }
+    if (phase != stop_phase::kEnded)
+      std::this_thread::sleep_for(kStopPollInterval);
+  }
 }
 
 }  // namespace dotterellead::entry
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -129,6 +129,12 @@
   std::size_t data_centre_count = 0;
 };
 
+// This host is stopping. Requests that may still be in progress at `ends_at`
+// are rejected, unless they have been sent to a server.
+struct shutdown_started {
+  time_point ends_at;
+};
+
 // Another host saw a server crash while it ran a request with this fingerprint.
 struct crash_reported {
   request_fingerprint fingerprint;
@@ -173,11 +179,12 @@
 enum class reject_reason {
   kNoRoute,
   // The request did not run: no configuration, no eligible server, no capacity
-  // in time, or requests like it crash servers.
+  // in time, requests like it crash servers, or this host stops.
   kNoConfiguration,
   kNoServer,
   kNoCapacity,
   kCrashesServers,
+  kHostStopping,
   // The request may have run.
   kTimedOut,
   kServerFailed,
@@ -268,6 +275,7 @@
                                move_share_changed,
                                live_hosts_changed,
                                crash_reported,
+                               shutdown_started,
                                tick>;
   using effect = std::variant<probe_servers,
                               send_attempt,
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -11,6 +11,8 @@
 // server's version. A machine that becomes slow during the request stays below
 // it.
 constexpr int kSlowLatencyFactor = 3;
+// A retry on a new connection reaches another host, which may have room now.
+constexpr milliseconds kRetryAtAnotherHost{0};
 // A live server responds to a probe within a few milliseconds.
 constexpr milliseconds kCrashCheckTimeout{60};
 
@@ -181,7 +183,9 @@
                               const timestamp& now,
                               effects& out) {
   reject_request rejection{id, reason, std::nullopt};
-  if (GuaranteesNotRun(reason) && reason != reject_reason::kNoRoute)
+  if (reason == reject_reason::kHostStopping)
+    rejection.retry_after = kRetryAtAnotherHost;
+  else if (GuaranteesNotRun(reason) && reason != reject_reason::kNoRoute)
     rejection.retry_after = RetryAfter(request, now);
   const auto time_held =
       std::chrono::duration_cast<milliseconds>(now.steady - request.arrived_at);
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -19,6 +19,8 @@
       return "no-room";
     case reject_reason::kCrashesServers:
       return "crashes-servers";
+    case reject_reason::kHostStopping:
+      return "host-stopping";
     case reject_reason::kTimedOut:
       return "timed-out";
     case reject_reason::kServerFailed:
@@ -196,6 +198,27 @@
   poison_requests_.RecordCrash(m.fingerprint, now.steady);
 }
 
+void dispatcher::impl::On(const shutdown_started& m,
+                          const timestamp& now,
+                          effects& out) {
+  shutdown_ends_at_ = m.ends_at;
+  std::vector<request_id> outlasting;
+  for (auto& [id, request] : requests_) {
+    if (!MayOutlastHost(request))
+      continue;
+    if (request.may_have_run())
+      request.deadline = m.ends_at;
+    else
+      outlasting.push_back(id);
+  }
+  for (const request_id id : outlasting)
+    Reject(id, requests_.at(id), reject_reason::kHostStopping, now, out);
+}
+
+bool dispatcher::impl::MayOutlastHost(const request_state& request) const {
+  return shutdown_ends_at_ && request.deadline > *shutdown_ends_at_;
+}
+
 void dispatcher::impl::On(const tick&, const timestamp& now, effects& out) {
   ProcessDeferredRequests(now, out);
   std::vector<request_id> due;
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -112,6 +112,7 @@
   void On(const move_share_changed& m, const timestamp& now, effects& out);
   void On(const live_hosts_changed& m, const timestamp& now, effects& out);
   void On(const crash_reported& m, const timestamp& now, effects& out);
+  void On(const shutdown_started& m, const timestamp& now, effects& out);
   void On(const tick& m, const timestamp& now, effects& out);
 
   // Routing (routing.cc).
@@ -272,6 +273,8 @@
                       bool is_failure,
                       const timestamp& now,
                       effects& out);
+  // Whether the request may still be in progress when this host has to end it.
+  bool MayOutlastHost(const request_state& request) const;
   // Whether the request may be sent to another server. Consumes retry budget.
   bool TryAcquireRetry(request_state& request,
                        const attempt_ended& m,
@@ -326,6 +329,8 @@
       recent_caller_timeouts_;
   server_availability availability_;
   cold_start_limiter cold_starts_;
+  // Set once this host is stopping.
+  std::optional<time_point> shutdown_ends_at_;
 };
 
 }  // namespace dotterellead::dispatch
--- a/packages/dispatch/src/routing.cc
+++ b/packages/dispatch/src/routing.cc
@@ -80,6 +80,10 @@
   request.deadline =
       arrived_at + std::min(request.route->timeout,
                             m.caller_timeout.value_or(kDefaultCallerTimeout));
+  if (MayOutlastHost(request)) {
+    Reject(m.request, request, reject_reason::kHostStopping, now, out);
+    return;
+  }
   request.pool = SelectPool(*request.route);
   request.is_trial = SelectTrial(request.pool);
   auto [budget, is_new] = retry_budgets_.try_emplace(
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -346,3 +346,50 @@
   REQUIRE(w.results[id].rejected);
   CHECK_FALSE(GuaranteesNotRun(*w.results[id].rejected));
 }
+
+// Guards against requests lost at a planned stop: those that came late were
+// sent to a server, and cut when the process ended.
+TEST_CASE("a request that may outlast a stopping host is rejected as not run") {
+  dispatch_simulation w = WithServers(2);
+  constexpr milliseconds kStopTime{5'000};
+  w.Step(shutdown_started{w.now() + kStopTime});
+  // The route's timeout is 1.2 s.
+  w.Run(milliseconds(3'700));
+  const request_id in_time = w.SendRequest("pay", milliseconds(1'500));
+  w.Run(kShort);
+  CHECK(w.results[in_time].sent_to.size() == 1);
+  w.Run(milliseconds(180));
+  const request_id late = w.SendRequest("pay", milliseconds(1'500));
+  const request_id hasty = w.SendRequest("read", milliseconds(500));
+  w.Run(kShort);
+  CHECK(w.results[late].rejected == reject_reason::kHostStopping);
+  CHECK(w.results[late].latency == milliseconds(0));
+  CHECK(GuaranteesNotRun(*w.results[late].rejected));
+  // Another host may serve it at once.
+  CHECK(w.results[late].retry_after == milliseconds(0));
+  CHECK(w.results[hasty].sent_to.size() == 1);
+  w.EndAttempt(in_time, attempt_result::kResponded);
+  w.EndAttempt(hasty, attempt_result::kResponded);
+  CHECK(w.results[in_time].is_delivered);
+  CHECK(w.results[hasty].is_delivered);
+}
+
+TEST_CASE("requests in progress when a host stops end before its connections") {
+  dispatch_simulation w = WithServers(1);
+  w.servers[server_id("s0")].running = 1;
+  const request_id sent = w.SendRequest("pay");
+  w.Run(kShort);
+  REQUIRE(w.results[sent].sent_to.size() == 1);
+  const request_id queued = w.SendRequest("pay");
+  w.Run(kShort);
+  CHECK(w.results[queued].sent_to.empty());
+  w.Step(shutdown_started{w.now() + milliseconds(400)});
+  // One has reached no server, and is told so. The other may yet be answered.
+  CHECK(w.results[queued].rejected == reject_reason::kHostStopping);
+  CHECK_FALSE(w.results[sent].rejected);
+  w.Run(milliseconds(399));
+  CHECK_FALSE(w.results[sent].rejected);
+  w.Run(milliseconds(2));
+  CHECK(w.results[sent].rejected == reject_reason::kTimedOut);
+  CHECK(w.open_requests() == 0);
+}
--- a/packages/traffic/include/dotterellead/traffic.h
+++ b/packages/traffic/include/dotterellead/traffic.h
@@ -68,6 +68,8 @@
   std::uint64_t buffered_response_bytes = 0;
   std::uint64_t open_caller_connections = 0;
   std::uint64_t open_requests = 0;
+  // Whether callers can open connections.
+  bool is_accepting = false;
 };
 
 // All methods but Start and Stop are thread-safe.
@@ -95,7 +97,9 @@
   // Closes idle caller connections, and the others after their current
   // response.
   void StartDrain();
-  // Closes the listening socket for callers.
+  // Closes the listening socket. Connections that callers have opened by then
+  // are served; `is_accepting` turns false once all of them are counted. Those
+  // that stay silent are closed after a short time. Call StartDrain first.
   void StopAccepting();
   traffic_counters counters() const;
 
--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -10,6 +10,9 @@
 constexpr int kBacklog = 1024;
 // Idle timeout of connections for readiness checks and metrics.
 constexpr milliseconds kAuxiliaryIdleTimeout{2'000};
+// How long the last connections may stay silent once the listening socket is
+// closed; their requests may be on their way.
+constexpr milliseconds kLastRequestWait{100};
 // Timeout for sending a response to a caller.
 constexpr milliseconds kWriteTimeout{10'000};
 // Delay before accepting again after a shortage of descriptors or memory.
@@ -66,19 +69,6 @@
   std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
 };
 
-// Counts a caller's connection as long as it is served.
-class open_caller {
- public:
-  explicit open_caller(std::atomic<std::uint64_t>& count) : count_(count) {
-    ++count_;
-  }
-  open_caller(const open_caller&) = delete;
-  ~open_caller() { --count_; }
-
- private:
-  std::atomic<std::uint64_t>& count_;
-};
-
 // Equal for requests with the same caller, method, target and body.
 request_fingerprint FingerprintOf(beast::tcp_stream& stream,
                                   const request_message& request,
@@ -124,15 +114,51 @@
       co_await pause.async_wait(Resume(ec));
       continue;
     }
-    error_code ignored;  // Optional: only affects latency.
-    stream->socket().set_option(tcp::no_delay(true), ignored);
-    Spawn(io_, "traffic-caller", ServeCaller(std::move(stream)));
+    StartServing(std::move(stream));
   }
 }
 
-task<> traffic_service::impl::ServeCaller(
+void traffic_service::impl::StartServing(
     std::shared_ptr<beast::tcp_stream> stream) {
-  const open_caller counted(open_caller_count_);
+  error_code ignored;  // Optional: only affects latency.
+  stream->socket().set_option(tcp::no_delay(true), ignored);
+  auto counted = std::make_shared<open_caller>(open_caller_count_);
+  Spawn(io_, "traffic-caller",
+        ServeCaller(std::move(stream), std::move(counted)));
+}
+
+void traffic_service::impl::StopAccepting() {
+  // Connections in the listening socket's queue may carry requests already.
+  error_code ec;
+  front_acceptor_.non_blocking(true, ec);
+  while (!ec) {
+    auto stream = std::make_shared<beast::tcp_stream>(io_);
+    front_acceptor_.accept(stream->socket(), ec);
+    if (!ec)
+      StartServing(std::move(stream));
+  }
+  front_acceptor_.close(ec);
+  // Runs after an accept that had completed before the socket was closed.
+  asio::post(io_, [this] { is_accepting_ = false; });
+  Spawn(io_, "traffic-closing", CloseSilentCallers());
+}
+
+task<> traffic_service::impl::CloseSilentCallers() {
+  asio::steady_timer wait(io_, kLastRequestWait);
+  error_code ec;
+  co_await wait.async_wait(Resume(ec));
+  CloseIdleCallers();
+}
+
+void traffic_service::impl::CloseIdleCallers() {
+  for (auto& [stream, weak] : idle_callers_)
+    if (auto idle = weak.lock())
+      idle->cancel();
+}
+
+task<> traffic_service::impl::ServeCaller(
+    std::shared_ptr<beast::tcp_stream> stream,
+    std::shared_ptr<open_caller>) {
   beast::flat_buffer buffer(limits_.header_size.value +
                             limits::kMaxUnparsedBytes);
   bool is_first = true;
--- a/packages/traffic/src/messages.cc
+++ b/packages/traffic/src/messages.cc
@@ -160,6 +160,7 @@
     case dispatch::reject_reason::kNoConfiguration:
     case dispatch::reject_reason::kNoServer:
     case dispatch::reject_reason::kNoCapacity:
+    case dispatch::reject_reason::kHostStopping:
       return http::status::service_unavailable;
     case dispatch::reject_reason::kCrashesServers:
       return http::status::bad_gateway;
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -42,6 +42,7 @@
 void traffic_service::impl::Start() {
   front_acceptor_ = Listen(settings_.front_address, "front");
   ready_acceptor_ = Listen(settings_.ready_address, "ready");
+  is_accepting_ = true;
   SpawnLoop(io_, "traffic-accept", [this] { return AcceptCallers(); });
   SpawnLoop(io_, "traffic-ready", [this] {
     return AcceptAuxiliary(ready_acceptor_, [this] { return ReadyResponse(); });
@@ -77,14 +78,9 @@
                  [this](set_limits& changed) { limits_ = changed.limits; },
                  [this](start_drain&) {
                    is_draining_ = true;
-                   for (auto& [stream, weak] : idle_callers_)
-                     if (auto idle = weak.lock())
-                       idle->cancel();
+                   CloseIdleCallers();
                  },
-                 [this](stop_accepting&) {
-                   error_code ignored;  // It may already be closed.
-                   front_acceptor_.close(ignored);
-                 }},
+                 [this](stop_accepting&) { StopAccepting(); }},
       c);
 }
 
@@ -215,10 +211,10 @@
 }
 
 traffic_counters traffic_service::impl::counters() const {
-  return {request_count_,           delivered_count_,
-          rejected_count_,          probe_count_,
-          server_connection_count_, buffered_response_bytes_,
-          open_caller_count_,       open_request_count_};
+  return {
+      request_count_,     delivered_count_,         rejected_count_,
+      probe_count_,       server_connection_count_, buffered_response_bytes_,
+      open_caller_count_, open_request_count_,      is_accepting_};
 }
 
 // ---- Public interface
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -22,6 +22,19 @@
   bool must_close = false;
 };
 
+// Counts a caller's connection from its acceptance until it is closed.
+class open_caller {
+ public:
+  explicit open_caller(std::atomic<std::uint64_t>& count) : count_(count) {
+    ++count_;
+  }
+  open_caller(const open_caller&) = delete;
+  ~open_caller() { --count_; }
+
+ private:
+  std::atomic<std::uint64_t>& count_;
+};
+
 // A request whose caller waits for the response.
 struct open_request {
   explicit open_request(asio::io_context& io) : finished(io) {
@@ -66,7 +79,12 @@
   tcp::acceptor Listen(const catalog::endpoint& address,
                        const std::string& setting);
   task<> AcceptCallers();
-  task<> ServeCaller(std::shared_ptr<beast::tcp_stream> stream);
+  void StartServing(std::shared_ptr<beast::tcp_stream> stream);
+  task<> ServeCaller(std::shared_ptr<beast::tcp_stream> stream,
+                     std::shared_ptr<open_caller> counted);
+  void StopAccepting();
+  task<> CloseSilentCallers();
+  void CloseIdleCallers();
   // Returns false if the connection is to be closed.
   task<bool> ServeOneRequest(const std::shared_ptr<beast::tcp_stream>& stream,
                              beast::flat_buffer& buffer,
@@ -127,6 +145,7 @@
   // Connections without a request in progress; closed when draining starts.
   std::map<beast::tcp_stream*, std::weak_ptr<beast::tcp_stream>> idle_callers_;
   std::atomic<bool> is_ready_ = false;
+  std::atomic<bool> is_accepting_ = false;
   std::atomic<std::uint64_t> request_count_ = 0;
   std::atomic<std::uint64_t> delivered_count_ = 0;
   std::atomic<std::uint64_t> rejected_count_ = 0;
--- a/packages/traffic/tests/traffic_test.cc
+++ b/packages/traffic/tests/traffic_test.cc
@@ -252,3 +252,39 @@
   CHECK(Has(got, " 200 "));
   CHECK(Has(got, "Connection: close"));
 }
+
+// Guards against requests lost at a planned stop: connections that had just
+// been opened were reset or not counted.
+TEST_CASE("connections opened before the listening socket closes are served") {
+  std::atomic<bool> may_end = false;
+  loopback_server server(kServerPort, [&](const std::string& r) {
+    while (!may_end)
+      std::this_thread::sleep_for(milliseconds(5));
+    return ServerResponse(r);
+  });
+  traffic_fixture w;
+  w.service.StartDrain();
+  constexpr int kCallers = 40;
+  std::vector<test_socket> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(test_socket::Connect(kFrontPort));
+    callers.back().Write(Get());
+  }
+  test_socket silent = test_socket::Connect(kFrontPort);
+  CHECK(w.service.counters().is_accepting);
+  w.service.StopAccepting();
+  for (int i = 0; i < 400 && w.service.counters().is_accepting; ++i)
+    std::this_thread::sleep_for(milliseconds(5));
+  CHECK_FALSE(w.service.counters().is_accepting);
+  CHECK(w.service.counters().open_caller_connections >= kCallers);
+  may_end = true;
+  for (test_socket& caller : callers)
+    CHECK(Has(caller.ReadMessage(), " 200 "));
+  CHECK(silent.ReadMessage().empty());
+  callers.clear();
+  for (int i = 0; i < 400 && w.service.counters().open_caller_connections > 0;
+       ++i)
+    std::this_thread::sleep_for(milliseconds(5));
+  CHECK(w.service.counters().open_caller_connections == 0);
+  CHECK_FALSE(test_socket::Connect(kFrontPort).is_open());
+}
