Search for a parent among many silent hosts at once

Cause: preceding hosts were tried one after the other, 750 ms each if silent, and a silent one was due again after 2 s. Behind four silent hosts or more the list of those to try never became empty, so no host became the root, and live hosts further down were not reached.

Why it works: host_directory queries the preceding hosts concurrently, in rounds that grow, each host once in a search, so a search ends after a time that grows with the logarithm of their number. Silence is remembered for longer each time. A root queries the hosts outside its list, so that two parts of a fleet find each other without their seeds. An inquiry does not make its sender a child.

--- a/packages/fleet/src/children.cc
+++ b/packages/fleet/src/children.cc
@@ -57,6 +57,9 @@
 
 void fleet_duty::impl::HandleSyncRequest(const sync_request& request) {
   const time_point now = std::chrono::steady_clock::now();
+  directory_.RecordContact(request.self, now);
+  if (request.is_inquiry)
+    return;
   children_[request.self.name] = {request.self, request.descendants, now};
   HandleUpdates(request.updates);
   StartPushToParent();
@@ -170,8 +173,9 @@
 }
 
 void fleet_duty::impl::SetLiveHosts(std::vector<host_info> hosts) {
+  const time_point now = std::chrono::steady_clock::now();
   for (const host_info& host : hosts)
-    known_hosts_[host.name] = host;
+    directory_.RecordListed(host, now);
   if (hosts == live_hosts_ && hosts_version_ != 0)
     return;
   live_hosts_ = std::move(hosts);
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -24,7 +24,8 @@
                 "fleet",
                 kMailboxCapacity,
                 [this](command& c) { HandleCommand(c); }),
-      changed_(io_) {
+      changed_(io_),
+      directory_(settings_.self) {
   changed_.expires_at(time_point::max());
   live_hosts_ = {settings_.self};
 }
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELLEAD_FLEET_FLEET_IMPL_H_
 #define DOTTERELLEAD_FLEET_FLEET_IMPL_H_
 
+#include <algorithm>
 #include <deque>
 #include <variant>
 
@@ -9,6 +10,7 @@
 #include "dotterellead/fleet.h"
 #include "dotterellead/mailbox.h"
 #include "dotterellead/spawn.h"
+#include "host_directory.h"
 
 namespace dotterellead::fleet {
 
@@ -24,8 +26,9 @@
 inline constexpr milliseconds kSyncResponseMargin{350};
 // A child whose last request is older than this is down. Scaled.
 inline constexpr milliseconds kChildTimeout{1'500};
-// A parent that did not respond is not contacted again for this time.
-inline constexpr milliseconds kFailedParentBackoff{2'000};
+// A host that was queried responds within a few milliseconds, or somewhat later
+// if it is busy. Scaled.
+inline constexpr milliseconds kQueryTimeout{250};
 // How often a root looks for hosts that precede it.
 inline constexpr milliseconds kRootDiscoveryInterval{1'000};
 // Updates that are newer than the parent's by at least this much are sent to
@@ -65,13 +68,30 @@
   time_point last_seen;
 };
 
-// Queries to all seeds in progress.
-struct discovery_round {
-  explicit discovery_round(asio::io_context& io)
-      : finished(io, asio::steady_timer::time_point::max()) {}
-  std::size_t pending = 0;
-  // Cancelled when all queries have ended or a parent is known.
-  asio::steady_timer finished;
+enum class query_result { kPending, kAnswered, kSilent };
+
+// Queries to several hosts in progress, in order of preference.
+struct query_round {
+  query_round(asio::io_context& io, std::size_t count)
+      : results(count, query_result::kPending),
+        decided(io, asio::steady_timer::time_point::max()) {}
+  bool HasEnded() const {
+    return std::find(results.begin(), results.end(), query_result::kPending) ==
+           results.end();
+  }
+  // The first host that answered, once all before it are silent.
+  std::optional<std::size_t> FirstAnswered() const {
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      if (results[i] == query_result::kAnswered)
+        return i;
+      if (results[i] == query_result::kPending)
+        return std::nullopt;
+    }
+    return std::nullopt;
+  }
+  std::vector<query_result> results;
+  // Cancelled when the rest of the queries makes no difference.
+  asio::steady_timer decided;
 };
 
 class fleet_duty::impl {
@@ -131,21 +151,38 @@
 
   // Client side, to the parent (parent.cc).
 
-  std::vector<host_info> AvailableParents();
-
   task<> SyncWithParents();
 
+  void StartParent(const host_info& host);
+
+  // Returns the host to sync with; nullopt if this host is the root.
+  task<std::optional<host_info>> FindParent();
+
   // Queries the seeds until a parent is known or the discovery times out; all
   // hosts may have just been started, in any order.
   task<> DiscoverHosts();
 
+  bool HasAvailableParent() const;
+
   void SetRole(bool is_root);
 
   // Queries all seeds for their names and the hosts that they know.
   task<> QuerySeeds();
 
   task<> QuerySeed(catalog::endpoint seed,
-                   std::shared_ptr<discovery_round> round);
+                   std::size_t index,
+                   std::shared_ptr<query_round> round);
+
+  task<std::optional<host_info>> QueryHosts(std::vector<host_info> hosts);
+
+  task<> QueryKnownHost(host_info host,
+                        std::size_t index,
+                        std::shared_ptr<query_round> round);
+
+  // Asks the host at an address for its name and the hosts that it knows.
+  // Returns its name; nullopt if it did not respond.
+  task<std::optional<member_id>> QueryHost(catalog::endpoint address,
+                                           milliseconds timeout);
 
   task<bool> Sync(control_client& connection, milliseconds max_wait);
 
@@ -181,7 +218,7 @@
   std::map<std::pair<member_id, incarnation_id>, std::uint64_t>
       last_event_number_;
 
-  std::map<member_id, host_info> known_hosts_;
+  host_directory directory_;
   std::map<member_id, child_host> children_;
   std::vector<host_info> live_hosts_;
   std::uint64_t hosts_version_ = 0;
@@ -195,7 +232,6 @@
   // children's requests.
   std::uint64_t refresh_count_ = 0;
   host_info parent_;
-  std::map<member_id, time_point> parent_backoff_until_;
   // State of the parent at its last response.
   std::array<log_offset, kStreams> parent_end_offsets_;
   std::array<time_point, kStreams> parent_complete_at_{};
--- a/packages/fleet/src/parent.cc
+++ b/packages/fleet/src/parent.cc
@@ -2,47 +2,29 @@
 
 namespace dotterellead::fleet {
 
-std::vector<host_info> fleet_duty::impl::AvailableParents() {
-  std::vector<host_info> known;
-  for (const auto& [name, host] : known_hosts_)
-    known.push_back(host);
-  const time_point now = std::chrono::steady_clock::now();
-  std::vector<host_info> parents = ParentCandidates(settings_.self, known);
-  std::erase_if(parents, [&](const host_info& host) {
-    auto failed = parent_backoff_until_.find(host.name);
-    return failed != parent_backoff_until_.end() && now < failed->second;
-  });
-  return parents;
-}
-
 task<> fleet_duty::impl::SyncWithParents() {
   co_await DiscoverHosts();
   while (true) {
-    const std::vector<host_info> parents = AvailableParents();
-    if (parents.empty()) {
+    directory_.Update(live_hosts_, std::chrono::steady_clock::now());
+    const std::optional<host_info> parent = co_await FindParent();
+    if (!parent) {
       SetRole(true);
       UpdateLiveHosts();
       asio::steady_timer pause(io_, kRootDiscoveryInterval);
       error_code ec;
       co_await pause.async_wait(Resume(ec));
       co_await QuerySeeds();
+      const std::vector<host_info> unlisted = directory_.NextRootQueries(
+          live_hosts_, std::chrono::steady_clock::now());
+      co_await QueryHosts(unlisted);
       continue;
     }
-    const host_info& host = parents.front();
-    if (!parent_connection_ || !(host == parent_)) {
-      parent_connection_ = std::make_unique<control_client>(io_, host.address);
-      parent_ = host;
-      parent_complete_at_.fill(std::chrono::steady_clock::now());
-      parent_end_offsets_.fill(log_offset());
-      parent_events_version_ = 0;
-      parent_hosts_version_ = 0;
-      parent_stages_version_ = 0;
-    }
+    if (!parent_connection_ || !(*parent == parent_))
+      StartParent(*parent);
     if (!co_await Sync(*parent_connection_, Scaled(kMaxSyncWait))) {
       LogEvent(log_level::kInfo, "host-above-lost",
-               {{"host", host.name.value()}});
-      parent_backoff_until_[host.name] =
-          std::chrono::steady_clock::now() + kFailedParentBackoff;
+               {{"host", parent->name.value()}});
+      directory_.RecordSilence(parent->name, std::chrono::steady_clock::now());
       parent_connection_.reset();
     } else {
       SetRole(false);
@@ -50,13 +32,40 @@
   }
 }
 
+void fleet_duty::impl::StartParent(const host_info& host) {
+  parent_connection_ = std::make_unique<control_client>(io_, host.address);
+  parent_ = host;
+  parent_complete_at_.fill(std::chrono::steady_clock::now());
+  parent_end_offsets_.fill(log_offset());
+  parent_events_version_ = 0;
+  parent_hosts_version_ = 0;
+  parent_stages_version_ = 0;
+}
+
+// Hosts that are preferred to the current parent are queried before they
+// replace it, since a sync request to a silent one would take much longer.
+task<std::optional<host_info>> fleet_duty::impl::FindParent() {
+  const time_point began = std::chrono::steady_clock::now();
+  for (int round = 0;; ++round) {
+    std::optional<host_info> current;
+    if (parent_connection_)
+      current = parent_;
+    const std::vector<host_info> queries = directory_.NextParentQueries(
+        current, began, round, std::chrono::steady_clock::now());
+    if (queries.empty())
+      co_return current;
+    const std::optional<host_info> found = co_await QueryHosts(queries);
+    if (found)
+      co_return found;
+  }
+}
+
 task<> fleet_duty::impl::DiscoverHosts() {
   const time_point deadline =
       std::chrono::steady_clock::now() + settings_.discovery_timeout;
   while (true) {
     co_await QuerySeeds();
-    if (!AvailableParents().empty() ||
-        std::chrono::steady_clock::now() >= deadline)
+    if (HasAvailableParent() || std::chrono::steady_clock::now() >= deadline)
       co_return;
     asio::steady_timer pause(io_, kSeedRetryInterval);
     error_code ec;
@@ -64,6 +73,10 @@
   }
 }
 
+bool fleet_duty::impl::HasAvailableParent() const {
+  return !directory_.AvailableParents(std::chrono::steady_clock::now()).empty();
+}
+
 void fleet_duty::impl::SetRole(bool is_root) {
   if (is_root == is_root_)
     return;
@@ -74,44 +87,85 @@
 // Queries all seeds concurrently, so that one that is down does not delay the
 // others. Returns when all have ended or a parent is known.
 task<> fleet_duty::impl::QuerySeeds() {
-  auto round = std::make_shared<discovery_round>(io_);
-  for (const catalog::endpoint& seed : settings_.seeds) {
-    if (seed == settings_.self.address)
-      continue;
-    ++round->pending;
-    Spawn(io_, "fleet-seed", QuerySeed(seed, round));
+  auto round = std::make_shared<query_round>(io_, settings_.seeds.size());
+  for (std::size_t i = 0; i < settings_.seeds.size(); ++i) {
+    if (settings_.seeds[i] == settings_.self.address)
+      round->results[i] = query_result::kSilent;
+    else
+      Spawn(io_, "fleet-seed", QuerySeed(settings_.seeds[i], i, round));
   }
-  if (round->pending == 0)
+  if (round->HasEnded())
     co_return;
   error_code ec;
-  co_await round->finished.async_wait(Resume(ec));
+  co_await round->decided.async_wait(Resume(ec));
 }
 
 task<> fleet_duty::impl::QuerySeed(catalog::endpoint seed,
-                                   std::shared_ptr<discovery_round> round) {
-  control_client connection(io_, seed);
+                                   std::size_t index,
+                                   std::shared_ptr<query_round> round) {
+  const std::optional<member_id> answered =
+      co_await QueryHost(seed, kSeedTimeout);
+  round->results[index] =
+      answered ? query_result::kAnswered : query_result::kSilent;
+  if (round->HasEnded() || HasAvailableParent())
+    round->decided.cancel();
+}
+
+// Queries the hosts concurrently and returns the first of the list that
+// answers; waits for the ones before it only.
+task<std::optional<host_info>> fleet_duty::impl::QueryHosts(
+    std::vector<host_info> hosts) {
+  if (hosts.empty())
+    co_return std::nullopt;
+  auto round = std::make_shared<query_round>(io_, hosts.size());
+  for (std::size_t i = 0; i < hosts.size(); ++i)
+    Spawn(io_, "fleet-query", QueryKnownHost(hosts[i], i, round));
+  error_code ec;
+  co_await round->decided.async_wait(Resume(ec));
+  const std::optional<std::size_t> first = round->FirstAnswered();
+  co_return first ? std::optional(hosts[*first]) : std::nullopt;
+}
+
+task<> fleet_duty::impl::QueryKnownHost(host_info host,
+                                        std::size_t index,
+                                        std::shared_ptr<query_round> round) {
+  const std::optional<member_id> answered =
+      co_await QueryHost(host.address, Scaled(kQueryTimeout));
+  const bool is_same = answered == host.name;
+  if (!is_same)
+    directory_.RecordSilence(host.name, std::chrono::steady_clock::now());
+  round->results[index] =
+      is_same ? query_result::kAnswered : query_result::kSilent;
+  if (round->HasEnded() || round->FirstAnswered())
+    round->decided.cancel();
+}
+
+task<std::optional<member_id>> fleet_duty::impl::QueryHost(
+    catalog::endpoint address,
+    milliseconds timeout) {
+  control_client connection(io_, address);
   sync_request request;
   request.self = settings_.self;
   request.hosts_version = hosts_version_;
   request.is_inquiry = true;
   const std::string body = EncodeRequest(request);
   const control_response response =
-      co_await connection.Send(http::verb::post, path_, body, kSeedTimeout);
-  if (response.status == kOk) {
-    try {
-      const sync_response decoded = DecodeResponse(response.body);
-      known_hosts_[decoded.self.name] = decoded.self;
-      parent_backoff_until_.erase(decoded.self.name);
-      if (decoded.hosts)
-        for (const host_info& host : *decoded.hosts)
-          known_hosts_.emplace(host.name, host);
-    } catch (const protocol_error& e) {
-      LogEvent(log_level::kWarning, "peer-message-unreadable",
-               {{"problem", e.problem()}, {"remedy", e.remedy()}});
-    }
+      co_await connection.Send(http::verb::post, path_, body, timeout);
+  if (response.status != kOk)
+    co_return std::nullopt;
+  try {
+    const sync_response decoded = DecodeResponse(response.body);
+    const time_point now = std::chrono::steady_clock::now();
+    directory_.RecordContact(decoded.self, now);
+    if (decoded.hosts)
+      for (const host_info& host : *decoded.hosts)
+        directory_.RecordListed(host, now);
+    co_return decoded.self.name;
+  } catch (const protocol_error& e) {
+    LogEvent(log_level::kWarning, "peer-message-unreadable",
+             {{"problem", e.problem()}, {"remedy", e.remedy()}});
+    co_return std::nullopt;
   }
-  if (--round->pending == 0 || !AvailableParents().empty())
-    round->finished.cancel();
 }
 
 bool fleet_duty::impl::IsFresherThanParent() const {
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "dotterellead/control_client.h"
+#include "dotterellead/event_loop.h"
 
 using namespace dotterellead;
 using namespace dotterellead::fleet;
@@ -80,6 +81,56 @@
   std::unique_ptr<fleet_duty> duty;
 };
 
+// A host that answers each message with a list of hosts, until it falls silent.
+class fake_host {
+ public:
+  fake_host(host_info self, std::vector<host_info> hosts)
+      : acceptor_(loop_.io(), ToTcp(self.address)) {
+    sync_response response;
+    response.self = std::move(self);
+    response.hosts = std::move(hosts);
+    response.hosts_version = 7;
+    body_ = EncodeResponse(response);
+    asio::co_spawn(loop_.io(), Accept(), asio::detached);
+    loop_.Start("fake-host");
+  }
+  ~fake_host() { loop_.Stop(); }
+  void SetSilent() { is_silent_ = true; }
+
+ private:
+  task<> Accept() {
+    while (true) {
+      error_code ec;
+      auto stream = std::make_shared<beast::tcp_stream>(loop_.io());
+      co_await acceptor_.async_accept(stream->socket(), Resume(ec));
+      asio::co_spawn(loop_.io(), Serve(stream), asio::detached);
+    }
+  }
+  task<> Serve(std::shared_ptr<beast::tcp_stream> stream) {
+    beast::flat_buffer buffer;
+    error_code ec;
+    while (!ec) {
+      http::request<http::string_body> request;
+      co_await http::async_read(*stream, buffer, request, Resume(ec));
+      asio::steady_timer pause(loop_.io(), milliseconds(20));
+      co_await pause.async_wait(Resume(ec));
+      while (is_silent_ && !ec) {
+        pause.expires_after(milliseconds(20));
+        co_await pause.async_wait(Resume(ec));
+      }
+      http::response<http::string_body> response(http::status::ok, 11);
+      response.body() = body_;
+      response.prepare_payload();
+      co_await http::async_write(*stream, response, Resume(ec));
+    }
+  }
+
+  event_loop loop_;
+  tcp::acceptor acceptor_;
+  std::string body_;
+  std::atomic<bool> is_silent_ = false;
+};
+
 template <class Condition>
 bool Within(milliseconds timeout, Condition condition) {
   const time_point deadline = std::chrono::steady_clock::now() + timeout;
@@ -228,6 +279,33 @@
   CHECK(Within(kTimeout, [&] { return third.ValueOf("s") == "1"; }));
 }
 
+// Guards against a fleet without a root after the loss of a data centre: lost
+// machines accept nothing and refuse nothing.
+TEST_CASE("hosts elect a root behind five silent hosts") {
+  std::vector<host_info> lost;
+  for (int i = 0; i < 5; ++i)
+    lost.push_back(Host("a" + std::to_string(i), "a", 23451 + i));
+  std::vector<host_info> all = lost;
+  all.push_back(Host("b1", "b", 23456));
+  all.push_back(Host("b2", "b", 23457));
+  fake_host parent(lost[0], all);
+  asio::io_context io;
+  std::vector<tcp::acceptor> silent;
+  for (std::size_t i = 1; i < lost.size(); ++i)
+    silent.emplace_back(io, ToTcp(lost[i].address));
+  const std::vector<catalog::endpoint> seeds = {lost[0].address};
+  fleet_host first("b1", "b", 23456, seeds);
+  fleet_host second("b2", "b", 23457, seeds);
+  CHECK(Within(kTimeout, [&] { return second.live_count == 7; }));
+  CHECK_FALSE(first.is_root);
+  parent.SetSilent();
+  // The goal for the whole fleet, from the loss on.
+  constexpr milliseconds kOneRootTime{3'000};
+  CHECK(Within(kOneRootTime, [&] { return first.is_root.load(); }));
+  CHECK(Within(kTimeout, [&] { return second.live_count == 2; }));
+  CHECK_FALSE(second.is_root);
+}
+
 TEST_CASE("a sync request with is_inquiry set gets no updates") {
   const catalog::endpoint address{0x7f000001, 23421};
   fleet_host root("a1", "a", 23421, {});
