--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -283,6 +283,7 @@
 // machines accept nothing and refuse nothing.
 TEST_CASE("hosts elect a root behind five silent hosts") {
   std::vector<host_info> lost;
+  lost.reserve(5);
   for (int i = 0; i < 5; ++i)
     lost.push_back(Host("a" + std::to_string(i), "a", 23451 + i));
   std::vector<host_info> all = lost;
