End an endless response at its deadline

Callers saw: beside 48 requests to a server that sends bytes without end, no request was answered, not even those to other servers. Other operators reported hosts that ran out of memory.

Cause: Beast's timeout cancels an operation that waits. While a peer always has more bytes ready, each read completes at once, so the attempt ended only at its size limit. Buffered bodies were also counted by size rather than by capacity.

Evidence: endless_response_test, 48 callers of /endless: with "small chunks with long extensions" no answer came within 5 s, though an attempt's timeout is 1 s; the process grew by up to 111 MB where 32 MB were accounted.

Why it works: the loop compares the clock with the deadline after each read, and reserves what the body's string really takes.

Test, failing before in each of its runs: "many endless responses at once leave room for other requests" (all 502 for the endless ones, 200 for the others, growth under 96 MB).

--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -90,18 +90,24 @@
          ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
+// What a response may take.
+struct response_bounds {
+  std::uint64_t max_body = 0;
+  time_point deadline;
+};
+
 // Reads one response, interim or final, and adds its size on the connection to
 // `size`. Sets `ec` if it is not read completely.
 task<received_response> ReadOneResponse(connection_ptr connection,
                                         response_memory& memory,
-                                        std::uint64_t max_body,
+                                        response_bounds bounds,
                                         bool is_head,
                                         std::uint64_t& size,
                                         error_code& ec) {
   received_response result;
   result.reservation = memory_reservation(memory);
   http::response_parser<http::string_body> parser;
-  parser.body_limit(max_body);
+  parser.body_limit(bounds.max_body);
   parser.header_limit(limits::kMaxServerHeaderBytes);
   parser.skip(is_head);
   // The parser is not eager: it stops after the header, before it allocates the
@@ -111,10 +117,14 @@
     const std::size_t parsed = co_await http::async_read_some(
         connection->stream, connection->buffer, parser, Resume(ec));
     size += parsed;
-    if (!ec && size > max_body + limits::kMaxServerFramingBytes)
+    if (!ec && size > bounds.max_body + limits::kMaxServerFramingBytes)
       ec = http::error::body_limit;
-    if (!ec && !result.reservation.Resize({parser.get().body().size()}))
+    if (!ec && !result.reservation.Resize({parser.get().body().capacity()}))
       ec = http::error::buffer_overflow;
+    // The stream's own timeout does not interrupt a peer that always has more
+    // bytes ready.
+    if (!ec && std::chrono::steady_clock::now() >= bounds.deadline)
+      ec = beast::error::timeout;
   }
   result.is_invalid = ec && IsInvalidInput(ec);
   result.needs_eof = parser.need_eof();
@@ -129,13 +139,13 @@
 task<received_response> ReadResponse(connection_ptr connection,
                                      exchange_context& context,
                                      const std::string& id,
-                                     std::uint64_t max_body,
+                                     response_bounds bounds,
                                      bool is_head,
                                      error_code& ec) {
   std::uint64_t size = 0;
   for (int extra = 0; extra <= limits::kMaxExtraResponses; ++extra) {
     received_response received = co_await ReadOneResponse(
-        connection, context.memory, max_body, is_head, size, ec);
+        connection, context.memory, bounds, is_head, size, ec);
     if (ec)
       co_return received;
     if (received.message.result_int() < 200)
@@ -215,8 +225,9 @@
       it != request->end())
     id = std::string(it->value());
   const bool is_head = request->method() == http::verb::head;
-  received_response received = co_await ReadResponse(
-      connection, context, id, limits::kMaxServerBodyBytes, is_head, ec);
+  const response_bounds bounds{limits::kMaxServerBodyBytes, deadline};
+  received_response received =
+      co_await ReadResponse(connection, context, id, bounds, is_head, ec);
   handle->connection = nullptr;
   if (received.is_invalid)
     LogInvalidResponse(server, ec);
@@ -249,16 +260,18 @@
                              milliseconds timeout,
                              dispatch::load_sample& sample) {
   error_code ec;
-  connection->stream.expires_after(timeout);
+  const time_point deadline = std::chrono::steady_clock::now() + timeout;
+  connection->stream.expires_at(deadline);
   request_message request(http::verb::get, server.health_path, 11);
   request.set(http::field::host, to_string(server.address));
   request.set(context.names.expected_server, server.id.value());
   co_await http::async_write(connection->stream, request, Resume(ec));
   const std::string no_id;
+  const response_bounds bounds{limits::kMaxProbeBodyBytes, deadline};
   received_response received;
   if (!ec)
-    received = co_await ReadResponse(connection, context, no_id,
-                                     limits::kMaxProbeBodyBytes, false, ec);
+    received =
+        co_await ReadResponse(connection, context, no_id, bounds, false, ec);
   if (ec) {
     connection->stream.close();
     co_return false;
--- a/packages/traffic/tests/endless_response_test.cc
+++ b/packages/traffic/tests/endless_response_test.cc
@@ -1,6 +1,8 @@
 // Servers that send bytes without end, or more than this host can hold.
 #include <doctest/doctest.h>
 
+#include <fstream>
+
 #include "traffic_fixture.h"
 
 using namespace dotterellead;
@@ -45,6 +47,42 @@
   };
 }
 
+// Anonymous memory of this process.
+std::uint64_t PrivateBytes() {
+  std::ifstream status("/proc/self/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with("RssAnon:"))
+      return std::stoull(line.substr(8)) * 1024;
+  return 0;
+}
+
+// Samples the private memory while it exists.
+class memory_growth {
+ public:
+  memory_growth() : before_(PrivateBytes()), sampling_([this] { Sample(); }) {}
+  ~memory_growth() { Stop(); }
+  // Ends the sampling and returns by how much the memory had grown at most.
+  std::uint64_t Stop() {
+    is_stopped_ = true;
+    if (sampling_.joinable())
+      sampling_.join();
+    return peak_ - std::min(peak_, before_);
+  }
+
+ private:
+  void Sample() {
+    while (!is_stopped_) {
+      peak_ = std::max(peak_, PrivateBytes());
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+
+  std::uint64_t before_;
+  std::uint64_t peak_ = 0;
+  std::atomic<bool> is_stopped_ = false;
+  std::thread sampling_;
+};
+
 std::string Respond(const endless_case& c, const std::string& request) {
   return Has(request, "/endless") || Has(request, "/health")
              ? c.start + std::string(kEndless)
@@ -99,6 +137,33 @@
   }
 }
 
+// Guards against a host that runs out of memory with the requests of all
+// others.
+TEST_CASE("many endless responses at once leave room for other requests") {
+  // The smallest machines have 160 MB; the rest is the program's own.
+  constexpr std::uint64_t kMaxGrowthBytes = 96 << 20;
+  constexpr int kCallers = 48;
+  for (const endless_case& c : EndlessCases()) {
+    CAPTURE(std::string(c.name));
+    loopback_server server(kServerPort,
+                           [&](const std::string& r) { return Respond(c, r); });
+    server.SetEndless(c.part, milliseconds(0));
+    traffic_fixture w;
+    memory_growth memory;
+    std::vector<test_socket> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(test_socket::Connect(kFrontPort));
+      callers.back().Write(Get("", "/endless"));
+    }
+    for (int i = 0; i < 20; ++i)
+      CHECK(Has(w.Send(Get("", "/other")), "HTTP/1.1 200"));
+    for (test_socket& caller : callers)
+      CHECK(Has(caller.ReadMessage(), "HTTP/1.1 502"));
+    const std::uint64_t growth = memory.Stop();
+    CHECK(growth < kMaxGrowthBytes);
+  }
+}
+
 TEST_CASE("responses of up to 16 MB pass whole") {
   const std::string body(limits::kMaxServerBodyBytes, 'b');
   loopback_server server(kServerPort, [&](const std::string& r) {
