Read the notices of responses without a request id

Callers saw: 502 for requests to a server that had asked for a pause, and more requests sent to it meanwhile (BUDGET).

Cause: on a reused connection a response without an id is not taken for the answer to the request. Its Retry-After and Server-Leaving were dropped with it.

Why it works: a notice is of the server, whichever request its response is to, so it counts in each complete response but one of another server at the address. The result of the request is unknown as before.

Test, failing before (no notice came): traffic_test "a rejection without a request id is a notice on any connection".

--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -240,9 +240,11 @@
   const response_message& response = received.message;
   result.status = static_cast<int>(response.result_int());
   result.load = ParseLoad(HeaderValue(response, context.names.load));
-  result.result = received.is_invalid ? attempt_result::kInvalidResponse
-                                      : Classify(response, context.names);
-  if (result.result != attempt_result::kWrongServer && !received.is_invalid)
+  const attempt_result classified = Classify(response, context.names);
+  result.result =
+      received.is_invalid ? attempt_result::kInvalidResponse : classified;
+  // A notice counts whichever request the response is to: it is of the server.
+  if (classified != attempt_result::kWrongServer)
     if (const auto notice = ReadNotice(response, context.names, server))
       context.notify(*notice);
   ReleaseOrClose(context.connections, server, connection,
--- a/packages/traffic/tests/server_notices_test.cc
+++ b/packages/traffic/tests/server_notices_test.cc
@@ -98,6 +98,24 @@
   }
 }
 
+// Guards against requests sent to a server that has asked for a pause.
+TEST_CASE("a rejection without a request id is a notice on any connection") {
+  loopback_server server(kServerPort, [&](const std::string& r) {
+    return Has(r, "/busy") ? std::string(
+                                 "HTTP/1.1 503 Full\r\nRetry-After: 1.5\r\n"
+                                 "Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+                           : ServerResponse(r);
+  });
+  traffic_fixture w;
+  CHECK(Has(w.Send(Get()), "HTTP/1.1 200"));
+  // Not known to be the answer to this request, on a reused connection.
+  CHECK(Has(w.Send(Get("", "/busy")), "HTTP/1.1 502"));
+  const auto notices = WaitForNotice(w);
+  REQUIRE(notices.size() == 1);
+  CHECK(notices[0].retry_after == milliseconds(1'500));
+  CHECK(notices[0].is_leaving);
+}
+
 TEST_CASE("a health response that comes too late is a notice all the same") {
   loopback_server server(kServerPort, [&](const std::string&) {
     std::this_thread::sleep_for(milliseconds(60));
