Close a connection on which a server has rejected a request

Callers saw (other operators' report): "not run, try again" of requests that a server had run or was running, after a faulty server wrote an earlier rejection once more on a kept connection.

Cause, in the standalone programs: answers have no request id, so a copy that comes after the check for unread bytes is taken for the answer to the next request on the connection.

Evidence: pooled_transport_test with such a server: 503 "not-run" for a request that it ran.

Why it works: no request follows a rejection on its connection, so a copy has nothing to be taken for.

Test, failing before (503 instead of 200): proxy_test "a repeated rejection is not taken for the answer to the next request".

--- a/packages/proxy/src/pooled_transport.cc
+++ b/packages/proxy/src/pooled_transport.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <thread>
 
+#include "attempt_outcome.h"
 #include "attempt_watcher.h"
 #include "dotterellead/proxy.h"
 
@@ -90,6 +91,10 @@
               kept_connection used,
               attempt& sent,
               time_point end) {
+    // Answers have no id: a copy of a rejection that the server writes later
+    // would say "not run" of the next request on the connection.
+    if (ResultOf(sent) == attempt_result::kNotRun)
+      return;
     if (sent.result.ok()) {
       used.last_answer = end;
       Keep(server, std::move(used));
--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <functional>
 #include <set>
 #include <thread>
 
@@ -100,6 +101,107 @@
   CHECK(sent.result.answer.body == "b");
 }
 
+// Accepts connections on a free port and gives each to a thread of its own.
+class raw_server {
+ public:
+  explicit raw_server(std::function<void(int)> serve)
+      : serve_(std::move(serve)), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof any;
+    bind(listener_, reinterpret_cast<sockaddr*>(&any), size);
+    listen(listener_, 8);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&any), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+    accepting_ = std::thread([this] { Accept(); });
+  }
+  ~raw_server() {
+    shutdown(listener_, SHUT_RDWR);
+    accepting_.join();
+    for (const int connection : open_)
+      shutdown(connection, SHUT_RDWR);
+    for (std::thread& t : serving_)
+      t.join();
+    for (const int connection : open_)
+      close(connection);
+    close(listener_);
+  }
+  raw_server(const raw_server&) = delete;
+  raw_server& operator=(const raw_server&) = delete;
+
+  std::string address;
+
+ private:
+  void Accept() {
+    for (int connection;
+         (connection = accept(listener_, nullptr, nullptr)) >= 0;) {
+      open_.push_back(connection);
+      serving_.emplace_back([this, connection] {
+        serve_(connection);
+        shutdown(connection, SHUT_RDWR);
+      });
+    }
+  }
+
+  std::function<void(int)> serve_;
+  int listener_;
+  std::vector<int> open_;
+  std::vector<std::thread> serving_;
+  std::thread accepting_;
+};
+
+bool Write(int connection, std::string_view bytes) {
+  return send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+}
+
+// Rejects its first request, and writes the rejection once more when the next
+// request arrives on that connection; runs all others.
+class repeating_server {
+ public:
+  std::atomic<int> runs{0};
+
+ private:
+  void Serve(int connection) {
+    constexpr std::string_view kRejection =
+        "HTTP/1.1 503 Full\r\nrequest-run: not-run\r\n"
+        "Content-Length: 0\r\n\r\n";
+    constexpr std::string_view kAnswer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran";
+    bool has_rejected = false;
+    char received[4096];
+    while (recv(connection, received, sizeof received, 0) > 0) {
+      const bool rejects = requests_++ == 0;
+      if (rejects || has_rejected)
+        Write(connection, kRejection);
+      has_rejected = has_rejected || rejects;
+      if (rejects)
+        continue;
+      ++runs;
+      Write(connection, kAnswer);
+    }
+  }
+
+  std::atomic<int> requests_{0};
+  raw_server server_{[this](int connection) { Serve(connection); }};
+
+ public:
+  const std::string& address = server_.address;
+};
+
+// Guards against "not run" said of a request that a server is running.
+TEST_CASE(
+    "a repeated rejection is not taken for the answer to the next request") {
+  fixture f;
+  repeating_server server;
+  f.server = server_id(server.address);
+  CHECK(f.Send("first").result.answer.status == 503);
+  const attempt next = f.Send("next");
+  CHECK(next.result.answer.status == 200);
+  CHECK(next.result.answer.body == "ran");
+  CHECK(server.runs == 1);
+}
+
 // Guards against a paused process that sends after its lease has run out.
 TEST_CASE("nothing is sent after the lease or the deadline") {
   fixture f;
