Read answers of servers with bounds in the standalone programs

Callers saw (other operators' report): a faulty server sent bytes without end, and the host that had called it ended by itself, with the requests of all other callers.

Cause: the client of cpp-httplib reads lines of any length and headers and interim responses in any number until the deadline, and matches the status line with std::regex, which recurses for each character and overflows the stack.

Evidence: pooled_transport_test with a status line without end crashed the test program (SIGSEGV), also with the connection cut after 6 MB: the cut ends the line, which is then matched.

Why it works: http_connection reads with Beast's parser under limits for head, body, framing and interim responses, and deadline_stream compares the clock with the deadline at each read. A connection takes one descriptor as before.

Test, failing before (crash in the first case): proxy_test "an answer without end is cut early, in its head and in its body".

--- a/packages/http/include/dotterellead/http.h
+++ b/packages/http/include/dotterellead/http.h
@@ -1,6 +1,6 @@
-// HTTP/1.1 listener and client connection over cpp-httplib, which stays private
-// to this package. Used towards callers, operators, peers, backend servers and
-// the platform.
+// HTTP/1.1 listener over cpp-httplib and client connection over Beast, which
+// both stay private to this package. Used towards callers, operators, peers,
+// backend servers and the platform.
 #ifndef DOTTERELLEAD_HTTP_H_
 #define DOTTERELLEAD_HTTP_H_
 
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -1,161 +1,157 @@
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <httplib.h>
 #include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <atomic>
 
+#include "deadline_stream.h"
 #include "dotterellead/http.h"
 
 namespace dotterellead {
 namespace {
 
-// Removed because httplib writes them itself from the request it sends.
-void EraseWrittenByLibrary(httplib::Headers& headers) {
-  for (const char* name : {"Content-Length", "Connection"})
-    headers.erase(name);
-}
+using request_message = http::request<http::string_body>;
+using answer_parser = http::response_parser<http::string_body>;
 
-// A connection on which nothing is sent.
-class client_socket {
- public:
-  client_socket(const socket_address& remote, milliseconds timeout)
-      : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(remote.port);
-    inet_pton(AF_INET, remote.ip.c_str(), &to.sin_addr);
-    (void)connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof(to));
-    connected_ = socket_ >= 0 && Wait(POLLOUT, timeout) != 0 && !HasProblem();
-  }
-  ~client_socket() {
-    if (socket_ >= 0)
-      close(socket_);
-  }
-  client_socket(const client_socket&) = delete;
-  client_socket& operator=(const client_socket&) = delete;
-
-  bool is_connected() const { return connected_; }
-  // Returns the events that occurred, 0 after `timeout`.
-  short Wait(short events, milliseconds timeout) const {
-    pollfd state{socket_, events, 0};
-    return poll(&state, 1, static_cast<int>(timeout.count())) > 0
-               ? state.revents
-               : static_cast<short>(0);
-  }
+constexpr int kHttpVersion = 11;
 
- private:
-  bool HasProblem() const {
-    int problem = 0;
-    socklen_t size = sizeof(problem);
-    getsockopt(socket_, SOL_SOCKET, SO_ERROR, &problem, &size);
-    return problem != 0;
-  }
+// Headers that describe the connection or the body are written anew.
+bool IsWrittenAnew(const std::string& name) {
+  for (const char* own : {"content-length", "connection", "transfer-encoding"})
+    if (beast::iequals(name, own))
+      return true;
+  return false;
+}
 
-  int socket_;
-  bool connected_ = false;
-};
+request_message Translate(const http_request& request,
+                          const socket_address& remote) {
+  request_message out;
+  out.version(kHttpVersion);
+  out.method_string(request.method);
+  out.target(request.target);
+  for (const http_header& header : request.headers)
+    if (!IsWrittenAnew(header.name))
+      out.insert(header.name, header.value);
+  if (out.find(http::field::host) == out.end())
+    out.set(http::field::host, remote.ToString());
+  out.body() = request.body;
+  out.prepare_payload();
+  return out;
+}
+
+// Whether a read failed because of what the server sent, rather than because
+// the connection ended.
+bool IsInvalidInput(const error_code& ec) {
+  return ec.category() ==
+             http::make_error_code(http::error::bad_version).category() &&
+         ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
 
 }  // namespace
 
 class http_connection::impl {
  public:
   impl(const socket_address& remote, milliseconds connect_timeout)
-      : client_(remote.ip, remote.port) {
-    client_.set_keep_alive(true);
-    client_.set_tcp_nodelay(true);
-    client_.set_follow_location(false);
-    client_.set_url_encode(false);
-    client_.set_decompress(false);
-    client_.set_connection_timeout(connect_timeout);
-  }
+      : remote_(remote), connect_timeout_(connect_timeout) {}
 
   send_result Send(const http_request& request,
                    milliseconds timeout,
                    byte_count max_answer) {
     send_result result;
-    if (cancelled_) {
+    const time_point deadline = std::chrono::steady_clock::now() + timeout;
+    if (!cancelled_ && !IsReusable() &&
+        !stream_.Connect(remote_, std::min(connect_timeout_, timeout)))
+      result.failure = send_failure::kConnect;
+    if (cancelled_)
       result.failure = send_failure::kCancelled;
+    if (!result.ok())
       return result;
-    }
-    client_.set_read_timeout(timeout);
-    client_.set_write_timeout(timeout);
-    bool too_large = false;
-    httplib::Request out = Translate(request);
-    out.content_receiver = [&](const char* data, std::size_t size,
-                               std::uint64_t, std::uint64_t) {
-      too_large = result.answer.body.size() + size > max_answer.value;
-      if (!too_large)
-        result.answer.body.append(data, size);
-      return !too_large;
-    };
-    const auto begin = std::chrono::steady_clock::now();
-    const httplib::Result answer = client_.send(out);
-    const auto took = std::chrono::steady_clock::now() - begin;
-    result.failure = Classify(answer.error(), too_large, took >= timeout);
-    if (!result.ok()) {
-      client_.stop();
-      return result;
-    }
-    result.answer.status = answer->status;
-    for (const auto& [name, value] : answer->headers)
-      result.answer.headers.push_back({name, value});
+    buffer_.clear();
+    stream_.SetDeadline(deadline);
+    error_code ec;
+    const request_message out = Translate(request, remote_);
+    http::write(stream_, out, ec);
+    bool can_reuse = false;
+    if (!ec)
+      can_reuse =
+          ReadAnswer(request.method == "HEAD", max_answer, result.answer, ec);
+    if (!can_reuse)
+      stream_.Close();
+    result.failure = Classify(ec);
+    if (!result.ok())
+      result.answer = {};
     return result;
   }
 
   bool IsReusable() const {
-    return client_.is_socket_open() != 0 && PollEvents() == 0;
+    return stream_.is_open() &&
+           stream_.Wait(POLLIN | POLLRDHUP, milliseconds(0)) == 0;
   }
   bool WasClosedByRemote() const {
-    return client_.is_socket_open() != 0 && (PollEvents() & kClosed) != 0;
+    return stream_.is_open() &&
+           (stream_.Wait(POLLIN | POLLRDHUP, milliseconds(0)) & kClosed) != 0;
   }
   void Cancel() {
     cancelled_ = true;
-    client_.stop();
+    stream_.Cancel();
   }
 
  private:
   static constexpr short kClosed = POLLRDHUP | POLLHUP | POLLERR;
 
-  // Any event on an idle connection means a close or bytes that belong to no
-  // request.
-  short PollEvents() const {
-    pollfd state{client_.socket(), POLLIN | POLLRDHUP, 0};
-    return poll(&state, 1, 0) > 0 ? state.revents : static_cast<short>(0);
+  // Reads one answer whole, after the interim ones. Returns whether another
+  // request may be sent on the connection.
+  bool ReadAnswer(bool is_head,
+                  byte_count max_answer,
+                  http_answer& answer,
+                  error_code& ec) {
+    std::uint64_t size = 0;
+    for (int extra = 0; extra <= limits::kMaxExtraResponses; ++extra) {
+      answer_parser parser;
+      parser.header_limit(limits::kMaxServerHeaderBytes);
+      parser.body_limit(max_answer.value);
+      parser.skip(is_head);
+      while (!ec && !parser.is_done()) {
+        size += http::read_some(stream_, buffer_, parser, ec);
+        if (!ec && size > max_answer.value + limits::kMaxServerFramingBytes)
+          ec = http::error::body_limit;
+      }
+      if (ec)
+        return false;
+      if (parser.get().result_int() >= 200)
+        return Finish(parser, answer);
+    }
+    ec = http::error::unexpected_body;
+    return false;
   }
 
-  static httplib::Request Translate(const http_request& request) {
-    httplib::Request out;
-    out.method = request.method;
-    out.path = request.target;
-    out.body = request.body;
-    for (const http_header& header : request.headers)
-      out.headers.emplace(header.name, header.value);
-    EraseWrittenByLibrary(out.headers);
-    return out;
+  bool Finish(answer_parser& parser, http_answer& answer) const {
+    const bool can_reuse =
+        parser.keep_alive() && !parser.need_eof() && buffer_.size() == 0;
+    auto& message = parser.get();
+    answer.status = static_cast<int>(message.result_int());
+    for (const auto& field : message)
+      answer.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    answer.body = std::move(message.body());
+    return can_reuse;
   }
 
-  send_failure Classify(httplib::Error problem,
-                        bool too_large,
-                        bool timed_out) const {
-    if (problem == httplib::Error::Success)
+  send_failure Classify(const error_code& ec) const {
+    if (!ec)
       return send_failure::kNone;
-    if (too_large)
-      return send_failure::kBadAnswer;
-    if (problem == httplib::Error::Connection ||
-        problem == httplib::Error::ConnectionTimeout) {
-      return send_failure::kConnect;
-    }
     if (cancelled_)
       return send_failure::kCancelled;
-    if (problem == httplib::Error::Canceled)
+    if (IsInvalidInput(ec))
       return send_failure::kBadAnswer;
-    return timed_out ? send_failure::kTimeout : send_failure::kCut;
+    return ec == asio::error::timed_out ? send_failure::kTimeout
+                                        : send_failure::kCut;
   }
 
-  httplib::Client client_;
+  const socket_address remote_;
+  const milliseconds connect_timeout_;
+  deadline_stream stream_;
+  // Bytes beyond the last answer end the connection, so it is empty between
+  // requests.
+  beast::flat_buffer buffer_{limits::kMaxUnparsedBytes};
   std::atomic<bool> cancelled_{false};
 };
 
@@ -184,16 +180,16 @@
 }
 
 bool CanConnect(const socket_address& remote, milliseconds timeout) {
-  return client_socket(remote, timeout).is_connected();
+  return deadline_stream().Connect(remote, timeout);
 }
 
 connection_fate WatchConnection(const socket_address& remote,
                                 milliseconds timeout,
                                 milliseconds watch) {
-  const client_socket socket(remote, timeout);
-  if (!socket.is_connected())
+  deadline_stream stream;
+  if (!stream.Connect(remote, timeout))
     return connection_fate::kRefused;
-  const short events = socket.Wait(POLLRDHUP, watch);
+  const short events = stream.Wait(POLLRDHUP, watch);
   if ((events & POLLERR) != 0)
     return connection_fate::kReset;
   return events != 0 ? connection_fate::kClosed : connection_fate::kOpen;
--- a/packages/net/include/dotterellead/net.h
+++ b/packages/net/include/dotterellead/net.h
@@ -1,5 +1,6 @@
 // Short names for the Boost.Asio and Beast types used by the packages that do
-// network I/O on an event loop. The standalone mode's HTTP is in packages/http.
+// network I/O on an event loop. The HTTP of the standalone mode's threads is in
+// packages/http.
 #ifndef DOTTERELLEAD_NET_H_
 #define DOTTERELLEAD_NET_H_
 
--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -202,6 +202,70 @@
   CHECK(server.runs == 1);
 }
 
+// Answers each request with `start`, then `part` until the connection closes.
+class endless_server {
+ public:
+  endless_server(std::string start, std::string part)
+      : start_(std::move(start)), part_(std::move(part)) {}
+
+  std::atomic<std::uint64_t> sent_bytes{0};
+
+ private:
+  void Serve(int connection) {
+    char received[4096];
+    if (recv(connection, received, sizeof received, 0) > 0 && !start_.empty())
+      Write(connection, start_);
+    while (Write(connection, part_))
+      sent_bytes += part_.size();
+  }
+
+  std::string start_;
+  std::string part_;
+  raw_server server_{[this](int connection) { Serve(connection); }};
+
+ public:
+  const std::string& address = server_.address;
+};
+
+// Guards against a host that runs out of memory with the requests of all
+// others.
+TEST_CASE("an answer without end is cut early, in its head and in its body") {
+  constexpr std::uint64_t kSocketBufferBytes = 16 << 20;
+  constexpr std::uint64_t kMaxSentBytes = limits::kMaxResponseBytes +
+                                          limits::kMaxServerFramingBytes +
+                                          kSocketBufferBytes;
+  const std::string bytes(16 << 10, 'a');
+  std::string headers;
+  for (int i = 0; i < 1'000; ++i)
+    headers += "a: b\r\n";
+  const struct {
+    const char* name;
+    std::string start;
+    std::string part;
+  } cases[] = {
+      {"status line", "HTTP/1.1 200 ", bytes},
+      {"header line", "HTTP/1.1 200 OK\r\na: ", bytes},
+      {"headers", "HTTP/1.1 200 OK\r\n", headers},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"enormous length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\n", bytes},
+      {"body without length", "HTTP/1.1 200 OK\r\n\r\n", bytes},
+      {"chunk size line",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", bytes},
+  };
+  for (const auto& c : cases) {
+    CAPTURE(std::string(c.name));
+    fixture f;
+    endless_server server(c.start, c.part);
+    f.server = server_id(server.address);
+    const time_point begun = f.clock.Now().steady;
+    const attempt sent = f.Send("x", false, 5'000);
+    CHECK(sent.result.failure == send_failure::kBadAnswer);
+    CHECK(f.clock.Now().steady - begun < milliseconds(2'000));
+    CHECK(server.sent_bytes < kMaxSentBytes);
+  }
+}
+
 // Guards against a paused process that sends after its lease has run out.
 TEST_CASE("nothing is sent after the lease or the deadline") {
   fixture f;
