Bound the framing of request bodies in the standalone listener

Callers could send a chunk-size line, or trailers, without end; the host kept them all.

Cause: cpp-httplib reads lines of any length; the listener counted the bytes of heads only.

Why it works: the stream counts a body with its framing too, and fails its reads beyond the limit.

Test, failing before (the listener took everything): http_test "a request without end is cut early, in its head and in its body".

--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -120,21 +120,21 @@
     pollfd state{socket_, POLLOUT, 0};
     return poll(&state, 1, static_cast<int>(timeout_.count())) > 0;
   }
-  // Starts to count header bytes; reads fail once a request's headers exceed
-  // the limit.
-  void BeginHeaders() { header_bytes_ = 0; }
-  void EndHeaders() { header_bytes_ = kNotCounting; }
+  // Start to count a request's header, or body, anew; reads fail once it
+  // exceeds its limit. The body's includes its framing.
+  void BeginHeaders() { BeginCount(max_header_bytes_); }
+  void BeginBody(byte_count max_body) {
+    BeginCount(byte_count{max_body.value + limits::kMaxRequestFramingBytes});
+  }
 
   ssize_t read(char* data, size_t size) override {
     if (begin_ == end_ && !Fill())
       return -1;
     const size_t n = std::min(size, end_ - begin_);
-    if (header_bytes_ != kNotCounting) {
-      header_bytes_ += n;
-      if (header_bytes_ > max_header_bytes_.value) {
-        current_call->close_after = true;
-        return -1;
-      }
+    counted_bytes_ += n;
+    if (counted_bytes_ > max_counted_bytes_) {
+      current_call->close_after = true;
+      return -1;
     }
     std::copy_n(buffer_.data() + begin_, n, data);
     begin_ += n;
@@ -162,9 +162,12 @@
   socket_t socket() const override { return socket_; }
 
  private:
-  static constexpr size_t kNotCounting = SIZE_MAX;
   static constexpr size_t kMaxUnsent = 64 << 10;
 
+  void BeginCount(byte_count max) {
+    counted_bytes_ = 0;
+    max_counted_bytes_ = max.value;
+  }
   bool SendAll(std::string_view data) const {
     while (!data.empty()) {
       if (!is_writable())
@@ -193,7 +196,8 @@
   std::array<char, 8192> buffer_{};
   size_t begin_ = 0;
   size_t end_ = 0;
-  size_t header_bytes_ = kNotCounting;
+  std::uint64_t counted_bytes_ = 0;
+  std::uint64_t max_counted_bytes_ = UINT64_MAX;
 };
 
 // Sets an event while there are more connections than threads.
@@ -447,7 +451,7 @@
     stream.BeginHeaders();
     const bool ok = process_request(stream, closing_, connection_closed,
                                     [&](httplib::Request& request) {
-                                      stream.EndHeaders();
+                                      stream.BeginBody(options_.max_body);
                                       CheckFraming(request, options_, call);
                                       SettleBody(request, stream, call);
                                       TakeHeaders(request, call);
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -88,6 +88,33 @@
   CHECK(server.calls == 0);
 }
 
+// Guards against a caller that fills the host's memory.
+TEST_CASE("a request without end is cut early, in its head and in its body") {
+  constexpr std::size_t kSocketBufferBytes = 16 << 20;
+  constexpr std::size_t kMaxSentBytes = limits::kMaxBodyBytes +
+                                        limits::kMaxRequestFramingBytes +
+                                        kSocketBufferBytes;
+  echo_server server;
+  server.listener.Start();
+  const std::string part(64 << 10, 'a');
+  for (const std::string start :
+       {"GET /", "GET / HTTP/1.1\r\na: ",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\na\r\n0\r\na: "}) {
+    CAPTURE(start);
+    const int fd = ConnectTo(server.listener.address());
+    CHECK(send(fd, start.data(), start.size(), MSG_NOSIGNAL) > 0);
+    std::size_t sent = 0;
+    for (ssize_t n; sent < 2 * kMaxSentBytes &&
+                    (n = send(fd, part.data(), part.size(), MSG_NOSIGNAL)) > 0;)
+      sent += static_cast<std::size_t>(n);
+    CHECK(sent < kMaxSentBytes);
+    close(fd);
+  }
+  CHECK(server.calls == 0);
+}
+
 // Guards against a body that passes for the next request, and against waiting
 // for a body that was never announced.
 TEST_CASE("a body belongs to its request whatever the method") {
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -14,6 +14,8 @@
 
 // Caller side.
 inline constexpr std::size_t kMaxBodyBytes = 1 << 20;
+// What a request's body may take on the connection beyond its size.
+inline constexpr std::size_t kMaxRequestFramingBytes = 2 << 20;
 inline constexpr std::size_t kMaxHeaderBytes = 32 << 10;
 inline constexpr std::size_t kMaxHeaders = 128;
 inline constexpr std::size_t kCallerThreads = 96;
