Reject what may outlast a stopping standalone host

Callers saw (other operators' report): in a planned stop, requests that came late in the grace time were passed on and cut at its end without an answer, among them requests that must not run twice.

Cause: the stop ends once nothing is in flight or the grace time is over. Under load the host took requests to the last moment, and its exit cut what was running.

Evidence: by reading, and request_flow_test: a host 1,999 ms before its end sent requests that may run for 2,000 ms.

Why it works: a request whose run may not end in time is rejected as not run ("host-stopping"); the deadline of all others is at most 250 ms before the end, so that each gets an answer.

Tests, failing before: proxy_test "a stopping host takes only requests that end before it does" (200 and sent, instead of 503). drain_test has the time of the end.

--- a/apps/standalone/entry_host_effects.cc
+++ b/apps/standalone/entry_host_effects.cc
@@ -318,12 +318,13 @@
   DeliverSurely(balance_, config_changed{e.config});
 }
 
-void entry_host::impl::Carry(draining_started&) {
+void entry_host::impl::Carry(draining_started& e) {
+  state_.ends_at = e.ends_at;
   state_.leaving = true;
   // Drain knows of the requests before its notice time ends, however long a
   // chore in progress takes.
   drain_.Post(requests_in_flight{state_.in_flight});
-  DeliverSurely(housekeeping_, draining_started{});
+  DeliverSurely(housekeeping_, e);
   callers_.BeginClosing();
   forwards_.BeginClosing();
   if (HasLog())
--- a/apps/standalone/host_reports.h
+++ b/apps/standalone/host_reports.h
@@ -47,6 +47,8 @@
   std::atomic<bool> has_config{false};
   std::atomic<bool> log_readable{false};
   std::atomic<bool> leaving{false};
+  // No request runs longer; a limit only while this host is stopping.
+  std::atomic<time_point> ends_at{time_point::max()};
   std::atomic<std::size_t> in_flight{0};
 
  private:
--- a/packages/drain/include/dotterellead/drain.h
+++ b/packages/drain/include/dotterellead/drain.h
@@ -42,9 +42,12 @@
   config_snapshot config;
 };
 
-// This host accepts no new requests; to be reported to peers and the platform's
-// load balancer.
-struct draining_started {};
+// This host is stopping; to be reported to peers and the platform's load
+// balancer.
+struct draining_started {
+  // No request runs longer here. Leaves time for the answers.
+  time_point ends_at;
+};
 
 // All requests have ended, or the maximum drain time has passed.
 struct drained {
--- a/packages/drain/src/drain_machine.cc
+++ b/packages/drain/src/drain_machine.cc
@@ -68,7 +68,8 @@
   if (stop_requested_at_)
     return;
   stop_requested_at_ = now.steady;
-  out.emplace_back(draining_started{});
+  out.emplace_back(draining_started{now.steady + options_.max_drain_time -
+                                    limits::kShutdownAnswerTime});
 }
 
 void drain_machine::On(const requests_in_flight& m,
--- a/packages/drain/tests/drain_test.cc
+++ b/packages/drain/tests/drain_test.cc
@@ -71,6 +71,8 @@
     machine.Step(requests_in_flight{5}, At(0), out);
     machine.Step(stop_requested{}, At(0), out);
     REQUIRE(std::holds_alternative<draining_started>(out.at(0)));
+    CHECK(std::get<draining_started>(out.at(0)).ends_at ==
+          At(0).steady + limits::kShutdownGrace - limits::kShutdownAnswerTime);
     int stopped_at = -1;
     for (int ms = 0; ms <= 20'000 && stopped_at < 0; ms += 100) {
       if (ms >= r.requests_end_ms)
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -144,6 +144,8 @@
 
 // Graceful shutdown.
 inline constexpr milliseconds kShutdownGrace{10'000};
+// Reserved at the end of that time for answers to requests that reached it.
+inline constexpr milliseconds kShutdownAnswerTime{250};
 
 // Capacity of a duty's ring, beyond which its full-ring policy applies.
 inline constexpr std::size_t kRingCapacity = 4096;
--- a/packages/proxy/include/dotterellead/proxy.h
+++ b/packages/proxy/include/dotterellead/proxy.h
@@ -187,6 +187,8 @@
   request_observer& observer;
   const clock_source& clock;
   std::function<config_snapshot()> config;
+  // No request runs longer; a limit only while this host is stopping.
+  std::function<time_point()> ends_at = [] { return time_point::max(); };
 };
 
 // An answer that the system makes itself: status, header dotterellead-run, and
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -101,7 +101,8 @@
                            "check the URL or declare a pool route for it");
     }
     c.match = *match;
-    c.tenant = c.config->pools.at(match->pool).spec.tenant;
+    const pool_spec& pool = c.config->pools.at(match->pool).spec;
+    c.tenant = pool.tenant;
     milliseconds timeout = limits::kDefaultRequestTimeout;
     if (!ReadTimeout(c.request, timeout)) {
       return MakeOwnAnswer(
@@ -111,6 +112,10 @@
               std::to_string(limits::kMaxRequestTimeout.count()));
     }
     c.deadline = c.received + timeout;
+    const time_point ends_at = parts_.ends_at();
+    if (c.received + std::min(timeout, pool.max_run) > ends_at)
+      return HostStopping();
+    c.deadline = std::min(c.deadline, ends_at);
     if (!c.match.idempotent) {
       const std::string* key = FindHeader(c.request.headers, kKeyHeader);
       if (key == nullptr || key->empty()) {
@@ -321,6 +326,13 @@
     return report;
   }
 
+  static http_answer HostStopping() {
+    return MakeOwnAnswer(
+        503, run_state::kNotRun, "host-stopping",
+        "this entry host stops before the request may have ended",
+        "resend it; another entry host will take it");
+  }
+
   http_answer Quarantined() const {
     return MakeOwnAnswer(
         503, run_state::kNotRun, "quarantined",
--- a/packages/proxy/tests/flow_fakes.h
+++ b/packages/proxy/tests/flow_fakes.h
@@ -217,6 +217,7 @@
   config_snapshot view;
   fake_clock clock;
   fake_caller caller;
+  time_point ends_at = time_point::max();
   fake_slots slots;
   fake_claims claims;
   fake_admission admission;
@@ -225,7 +226,8 @@
   fake_homes homes;
   fake_observer observer;
   request_flow flow{{slots, claims, admission, versions, backends, homes,
-                     observer, clock, [this] { return view; }}};
+                     observer, clock, [this] { return view; },
+                     [this] { return ends_at; }}};
 };
 
 inline std::string RunHeader(const http_answer& answer) {
--- a/packages/proxy/tests/request_flow_test.cc
+++ b/packages/proxy/tests/request_flow_test.cc
@@ -207,6 +207,29 @@
   CHECK_FALSE(f.backends.last_limits.cancel_with_caller);
 }
 
+// Guards against requests that are taken by a stopping host and cut at its end.
+TEST_CASE("a stopping host takes only requests that end before it does") {
+  // A request runs for 2 s at most, the pool's max_run.
+  for (const int left_ms : {1'999, 2'000, 3'000}) {
+    CAPTURE(left_ms);
+    fixture f;
+    f.ends_at = f.clock.now + milliseconds(left_ms);
+    const bool is_accepted = left_ms >= 2'000;
+    for (const http_answer& answer : {f.Get(), f.Post()}) {
+      CHECK(answer.status == (is_accepted ? 200 : 503));
+      CHECK(RunHeader(answer) == (is_accepted ? "" : "not-run"));
+    }
+    CHECK(f.backends.sent == (is_accepted ? 2 : 0));
+    CHECK(f.observer.last_reason == (is_accepted ? "" : "host-stopping"));
+    if (is_accepted)
+      CHECK(f.backends.last_limits.deadline <= f.ends_at);
+  }
+  fixture soon;
+  soon.ends_at = soon.clock.now + milliseconds(400);
+  const http_request brief{"GET", "/a", {{"request-timeout-ms", "300"}}, ""};
+  CHECK(soon.flow.Handle(brief, soon.caller).status == 200);
+}
+
 // Guards against attempts for a caller who has gone away.
 TEST_CASE("a caller who has gone gets no further attempts") {
   fixture f;
