Share the retry allowance with hosts that no list names

Cause: the fixed allowance is divided by the current list of live hosts, which is short after a start and while the fleet has no root. Each such host took the part of a small fleet.

Why it works: the divisor is the longest list of the last ten seconds and at least the number of seeds.

Tests, failing before: dispatch_test "hosts that do not list each other share one retry allowance"; retry_allowance_test.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -62,6 +62,7 @@
   d.retry_ratio = settings_.retry_ratio;
   d.retry_window = settings_.retry_window;
   d.retry_allowance = settings_.retry_allowance;
+  d.min_host_count = settings_.seeds.size();
   d.max_probe_rate = settings_.max_probe_rate;
   d.seed = StableHash(settings_.host.value()) ^
            static_cast<std::uint64_t>(clock_.Now().wall.value);
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -257,6 +257,9 @@
   double retry_ratio = 0.2;
   milliseconds retry_window{10'000};
   double retry_allowance = 50;
+  // Hosts that may be running although no list names them; a lower bound of
+  // the hosts that share the allowance.
+  std::size_t min_host_count = 1;
   // Average number of probes per second that one server accepts from all hosts
   // together; from the operators' limits.
   double max_probe_rate = 60;
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -106,7 +106,7 @@
   if (m.result == attempt_result::kNotConnected)
     return true;
   return retry_budgets_.at(request.pool)
-      .TryAcquire(now.steady, RetryAllowanceShare());
+      .TryAcquire(now.steady, retry_allowance_.ShareAt(now.steady));
 }
 
 void dispatcher::impl::On(const attempt_ended& m,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -57,6 +57,7 @@
     : settings_(std::move(settings)),
       random_(static_cast<std::minstd_rand::result_type>(
           settings_.seed % 2'147'483'646 + 1)),
+      retry_allowance_(settings_.retry_allowance, settings_.min_host_count),
       cold_starts_(settings_.self) {}
 
 void dispatcher::impl::Step(const message& m,
@@ -165,6 +166,7 @@
                           const timestamp& now,
                           effects&) {
   cold_starts_.SetLiveHosts(m.live);
+  retry_allowance_.RecordHostCount(m.live.size(), now.steady);
   local_host_count_ = m.local_host_count;
   data_centre_count_ = m.data_centre_count;
   if (catalog_) {
@@ -256,13 +258,6 @@
       .first->second;
 }
 
-double dispatcher::impl::RetryAllowanceShare() const {
-  // Half of the allowance is reserved for hosts that restart with an empty
-  // window and for hosts that this one does not know yet.
-  return settings_.retry_allowance / 2 /
-         static_cast<double>(cold_starts_.host_count());
-}
-
 void dispatcher::impl::Log(
     effects& out,
     std::string event,
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -14,6 +14,7 @@
 #include "poison_request_detector.h"
 #include "probe_budget.h"
 #include "probe_statistics.h"
+#include "retry_allowance.h"
 #include "retry_budget.h"
 #include "server_availability.h"
 #include "version_filter.h"
@@ -288,7 +289,6 @@
 
   service_time_estimate& ServiceTimeOf(const catalog::route& route);
   // This host's share of the retries allowed beyond the ratio.
-  double RetryAllowanceShare() const;
   // An id for a probe round that belongs to no single request.
   request_id NextProbeId();
   static void Log(effects& out,
@@ -324,6 +324,7 @@
   std::size_t data_centre_count_ = 0;
   std::map<catalog::route_name, service_time_estimate> service_times_;
   std::map<pool_id, retry_budget> retry_budgets_;
+  retry_allowance retry_allowance_;
   std::map<catalog::route_name, std::vector<double>> pool_credit_;
   std::map<catalog::route_name, std::deque<milliseconds>>
       recent_caller_timeouts_;
--- a/packages/dispatch/tests/dispatch_test.cc
+++ b/packages/dispatch/tests/dispatch_test.cc
@@ -148,6 +148,26 @@
   CHECK(w.open_requests() == 0);
 }
 
+namespace {
+
+// Sends `requests` requests, which every server rejects as not run. Returns the
+// number of retries.
+int RetriesOfRejected(dispatch_simulation& w, int requests) {
+  int retries = 0;
+  for (int i = 0; i < requests; ++i) {
+    const request_id id = w.SendRequest("read");
+    w.Run(kShort);
+    while (!w.results[id].is_delivered && !w.results[id].rejected) {
+      w.EndAttempt(id, attempt_result::kNotRun, 503);
+      w.Run(kShort);
+    }
+    retries += static_cast<int>(w.results[id].sent_to.size()) - 1;
+  }
+  return retries;
+}
+
+}  // namespace
+
 TEST_CASE("retries in one window stay within this host's share of the budget") {
   dispatch_settings settings = dispatch_simulation::DefaultSettings();
   settings.retry_ratio = 0.2;
@@ -161,21 +181,44 @@
   for (int i = 1; i <= 10; ++i)
     hosts.emplace_back("host-" + std::to_string(i));
   w.Step(live_hosts_changed{hosts});
-  int retries = 0;
   constexpr int kRequests = 50;
-  for (int i = 0; i < kRequests; ++i) {
-    const request_id id = w.SendRequest("read");
-    w.Run(kShort);
-    while (!w.results[id].is_delivered && !w.results[id].rejected) {
-      w.EndAttempt(id, attempt_result::kNotRun, 503);
-      w.Run(kShort);
-    }
-    retries += static_cast<int>(w.results[id].sent_to.size()) - 1;
-  }
+  const int retries = RetriesOfRejected(w, kRequests);
   CHECK(retries > 0);
   CHECK(retries <= 0.2 * kRequests + 20.0 / 10);
 }
 
+// Guards against retries beyond what all hosts may make, while each host
+// believes itself alone: after all were restarted, or without a root.
+TEST_CASE("hosts that do not list each other share one retry allowance") {
+  constexpr int kHosts = 13;
+  constexpr int kRequests = 20;
+  for (const bool was_restarted : {true, false}) {
+    CAPTURE(was_restarted);
+    std::vector<member_id> hosts;
+    hosts.reserve(kHosts);
+    for (int i = 0; i < kHosts; ++i)
+      hosts.emplace_back("host-" + std::to_string(i));
+    int retries = 0;
+    for (const member_id& host : hosts) {
+      dispatch_settings settings = dispatch_simulation::DefaultSettings();
+      settings.self = host;
+      settings.retry_ratio = 0.2;
+      settings.retry_allowance = 20;
+      settings.min_host_count = was_restarted ? kHosts : 1;
+      dispatch_simulation w(settings);
+      for (int i = 0; i < 6; ++i)
+        w.AddServer("s" + std::to_string(i));
+      w.Publish();
+      if (!was_restarted)
+        w.Step(live_hosts_changed{hosts});
+      w.Step(live_hosts_changed{{host}});
+      retries += RetriesOfRejected(w, kRequests);
+    }
+    CHECK(retries > 0);
+    CHECK(retries <= 0.2 * kRequests * kHosts + 20.0);
+  }
+}
+
 TEST_CASE(
     "a disconnect cancels an idempotent request; others run to their end") {
   dispatch_simulation w = WithServers(2);
