--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -110,7 +110,7 @@
     any.sin_family = AF_INET;
     any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof any;
-    bind(listener_, reinterpret_cast<sockaddr*>(&any), size);
+    REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&any), size) == 0);
     listen(listener_, 8);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&any), &size);
     address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
