--- a/packages/traffic/tests/repeated_rejection_test.cc
+++ b/packages/traffic/tests/repeated_rejection_test.cc
@@ -45,7 +45,7 @@
         CAPTURE(static_cast<int>(at));
         std::atomic<int> runs = 0;
         loopback_server server(kServerPort, [&](const std::string& r) {
-          const std::string copy = Rejection(c);
+          std::string copy = Rejection(c);
           if (Has(r, "Req-Id: first"))
             return at == position::kAfterFirst ? copy + copy : copy;
           ++runs;
