Start on deployments whose terms lack a part

Change: limits are optional. An absent or empty one takes its documented default; without a limit on exposure, moves are off. One line at the start (settings-missing) names them. A value out of range is still an error that names the setting, the value and the remedy.

Result: the new test fills the deployment's template for all 32 subsets of the terms, and each limit absent, empty and present; it passes.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -188,7 +188,14 @@
   store_->Start();
 }
 
-void entry_host::HandleCatalog(const catalog::snapshot_ptr& snapshot) {
+void entry_host::HandleCatalog(catalog::snapshot_ptr snapshot) {
+  if (!settings_.has_moves && !snapshot->moves.empty()) {
+    // Without limits on a new version's share, its servers count like all
+    // others of their pool.
+    auto without_moves = std::make_shared<catalog::snapshot>(*snapshot);
+    without_moves->moves.clear();
+    snapshot = std::move(without_moves);
+  }
   if (snapshot->config) {
     traffic_->SetLimits(snapshot->config->limits);
     has_config_ = true;
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -30,7 +30,7 @@
   void Drain();
 
  private:
-  void HandleCatalog(const catalog::snapshot_ptr& snapshot);
+  void HandleCatalog(catalog::snapshot_ptr snapshot);
   void Execute(dispatch::dispatcher::effect& effect);
   void Execute(moves::move_machine::effect& effect);
   std::string MetricsText();
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -1,6 +1,11 @@
 #include "entry_settings.h"
 
+#include <fmt/core.h>
 #include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
 #include <cstdlib>
 #include <map>
 
@@ -17,11 +22,79 @@
   return address;
 }
 
+// A limit of the operators, which a deployment without that part of the terms
+// leaves empty.
+struct limit_setting {
+  const char* name;
+  const char* description;
+  double min = 0;
+  double max = 0;
+  void (*set)(entry_settings&, double);
+  // What holds without it.
+  const char* if_missing;
+};
+
 milliseconds FromSeconds(double seconds) {
   constexpr double kMillis = 1000;
   return milliseconds(static_cast<std::int64_t>(seconds * kMillis));
 }
 
+constexpr double kMaxSeconds = 600;
+
+constexpr limit_setting kLimits[] = {
+    {"expose-share", "share of requests that a bad version may get", 0, 1,
+     [](entry_settings& s, double v) { s.max_exposure_ratio = v; },
+     "moves are off"},
+    {"expose-slack", "requests beyond the share that a bad version may get", 0,
+     1e6, [](entry_settings& s, double v) { s.exposure_allowance = v; },
+     "moves are off"},
+    {"stop-s", "seconds from SIGTERM to the end", 0.1, kMaxSeconds,
+     [](entry_settings& s, double v) { s.stop_timeout = FromSeconds(v); },
+     "6 s"},
+    {"config-s", "seconds within which a configuration must be in force", 0.5,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.max_config_delay = FromSeconds(v); },
+     "2 s"},
+    {"drain-s", "seconds within which a leaving server gets no more requests",
+     0.5, kMaxSeconds,
+     [](entry_settings& s, double v) { s.max_drain_delay = FromSeconds(v); },
+     "2 s"},
+    {"repeat-ratio", "repeats allowed for each request, over all hosts", 0, 10,
+     [](entry_settings& s, double v) { s.retry_ratio = v; }, "0.2"},
+    {"repeat-window-s", "seconds over which repeats are counted", 0.1,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.retry_window = FromSeconds(v); },
+     "10 s"},
+    {"repeat-slack", "repeats beyond the ratio in one window, over all hosts",
+     0, 1e6, [](entry_settings& s, double v) { s.retry_allowance = v; }, "50"},
+    {"probes-per-s",
+     "health checks that one server bears from all hosts a second", 0.1, 1e6,
+     [](entry_settings& s, double v) { s.max_probe_rate = v; }, "60"},
+};
+
+double ParseLimit(const std::string& text, const limit_setting& limit) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, problem] = std::from_chars(text.data(), end, value);
+  // The negated comparison also rejects NaN.
+  if (problem != std::errc() || last != end ||
+      !(value >= limit.min && value <= limit.max))
+    throw invalid_setting_error(
+        fmt::format("setting {} is '{}'", limit.name, text),
+        fmt::format("give a number from {:g} to {:g}, or leave it empty",
+                    limit.min, limit.max));
+  return value;
+}
+
+bool ParseFirstStart(const std::string& text) {
+  if (text.empty() || text == "false" || text == "0")
+    return false;
+  if (text == "true" || text == "1")
+    return true;
+  throw invalid_setting_error("setting first-start is '" + text + "'",
+                              "give true or false, or leave it empty");
+}
+
 }  // namespace
 
 std::optional<entry_settings> ReadSettings(int argc,
@@ -38,10 +111,7 @@
   std::string host, data_centre, front, ready, metrics, store, peers;
   std::vector<std::string> seeds;
   std::string level = "info";
-  double stop_s = 6;
-  double config_s = 2;
-  double drain_s = 2;
-  double retry_window_s = 10;
+  std::string first_start;
   entry_settings s;
   app.add_option("--host", host, "name of this host")
       ->envname("DOTTERELLEAD_HOST")
@@ -65,36 +135,15 @@
       ->required();
   app.add_option("--seeds", seeds, "hosts to begin with, IP:PORT")
       ->delimiter(',');
-  app.add_option("--expose-share", s.max_exposure_ratio,
-                 "share of requests that a bad version may get")
-      ->check(CLI::Range(0.0, 1.0));
-  app.add_option("--expose-slack", s.exposure_allowance,
-                 "requests beyond the share that a bad version may get")
-      ->check(CLI::Range(0.0, 1e6));
-  app.add_option("--stop-s", stop_s, "seconds from SIGTERM to the end")
-      ->check(CLI::Range(0.1, 600.0));
-  app.add_option("--config-s", config_s,
-                 "seconds within which a configuration must be in force")
-      ->check(CLI::Range(0.5, 600.0));
-  app.add_option("--drain-s", drain_s,
-                 "seconds within which a leaving server gets no more requests")
-      ->check(CLI::Range(0.5, 600.0));
-  app.add_option("--repeat-ratio", s.retry_ratio,
-                 "repeats allowed for each request, over all hosts")
-      ->check(CLI::Range(0.0, 10.0));
-  app.add_option("--repeat-window-s", retry_window_s,
-                 "seconds over which repeats are counted")
-      ->check(CLI::Range(0.1, 600.0));
-  app.add_option("--repeat-slack", s.retry_allowance,
-                 "repeats beyond the ratio in one window, over all hosts")
-      ->check(CLI::Range(0.0, 1e6));
-  app.add_option("--probes-per-s", s.max_probe_rate,
-                 "health checks that one server bears from all hosts a second")
-      ->check(CLI::Range(0.1, 1e6));
+  std::array<std::string, std::size(kLimits)> limit_texts;
+  for (std::size_t i = 0; i < limit_texts.size(); ++i)
+    app.add_option(std::string("--") + kLimits[i].name, limit_texts[i],
+                   fmt::format("{}; without it: {}", kLimits[i].description,
+                               kLimits[i].if_missing));
   app.add_option("--log-level", level, "debug, info, warning or error")
       ->envname("DOTTERELLEAD_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
-  app.add_option("--first-start", s.is_first_start,
+  app.add_option("--first-start", first_start,
                  "true if all hosts start together for the first time");
   app.add_flag("--check", s.check_only, "checks the settings and ends");
   try {
@@ -118,10 +167,18 @@
   for (const std::string& seed : seeds)
     if (!seed.empty())
       s.seeds.push_back(ParseAddress(seed, "seeds"));
-  s.stop_timeout = FromSeconds(stop_s);
-  s.max_config_delay = FromSeconds(config_s);
-  s.max_drain_delay = FromSeconds(drain_s);
-  s.retry_window = FromSeconds(retry_window_s);
+  for (std::size_t i = 0; i < limit_texts.size(); ++i) {
+    if (limit_texts[i].empty())
+      s.missing.push_back(kLimits[i].name);
+    else
+      kLimits[i].set(s, ParseLimit(limit_texts[i], kLimits[i]));
+  }
+  const auto is_missing = [&s](std::string_view name) {
+    return std::find(s.missing.begin(), s.missing.end(), name) !=
+           s.missing.end();
+  };
+  s.has_moves = !is_missing("expose-share") && !is_missing("expose-slack");
+  s.is_first_start = ParseFirstStart(first_start);
   const std::map<std::string, log_level> levels{
       {"debug", log_level::kDebug},
       {"info", log_level::kInfo},
@@ -131,4 +188,14 @@
   return s;
 }
 
+std::string DescribeMissingSettings(const entry_settings& settings) {
+  std::string text;
+  for (const limit_setting& limit : kLimits)
+    if (std::find(settings.missing.begin(), settings.missing.end(),
+                  limit.name) != settings.missing.end())
+      text += fmt::format("{}{}: {}", text.empty() ? "" : ", ", limit.name,
+                          limit.if_missing);
+  return text;
+}
+
 }  // namespace dotterellead::entry
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "adapter/adapter.h"
 #include "dotterellead/catalog.h"
@@ -41,13 +42,22 @@
   double max_probe_rate = 60;
   double max_exposure_ratio = 0.1;
   double exposure_allowance = 50;
+  // Whether operators may order moves to new versions. Off without a limit on
+  // the exposure of new versions.
+  bool has_moves = true;
   log_level level = log_level::kInfo;
   // Whether all hosts start together for the first time.
   bool is_first_start = false;
   // Whether to check the settings and exit.
   bool check_only = false;
+  // Limits that were absent or empty.
+  std::vector<std::string> missing;
 };
 
+// Names of the settings that were absent or empty, each with its consequence,
+// for one log line at the start; empty if all were given.
+std::string DescribeMissingSettings(const entry_settings& settings);
+
 // Parses and checks the settings. Returns nullopt and sets `exit_code` if the
 // program is to exit, as after --help. Throws invalid_setting_error.
 std::optional<entry_settings> ReadSettings(int argc,
--- a/apps/entry/run_entry.cc
+++ b/apps/entry/run_entry.cc
@@ -86,6 +86,9 @@
              {{"host", s->host.value()},
               {"data_centre", s->data_centre.value()},
               {"front", to_string(s->front_address)}});
+    if (!s->missing.empty())
+      LogEvent(log_level::kInfo, "settings-missing",
+               {{"defaults", DescribeMissingSettings(*s)}});
     entry_host host(*s);
     host.Start();
     LogEvent(log_level::kInfo, "serving");
--- /dev/null
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -0,0 +1,165 @@
+#include "entry_settings.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <map>
+#include <regex>
+#include <sstream>
+
+using namespace dotterellead;
+using namespace dotterellead::entry;
+
+namespace {
+
+using placeholder_values = std::map<std::string, std::string>;
+
+// The placeholders of the template that every deployment fills in.
+const placeholder_values kHostValues = {{"node", "h1"},
+                                        {"zone", "dc-a"},
+                                        {"ip", "127.0.0.1"},
+                                        {"listen.front", "127.0.0.1:1"},
+                                        {"listen.ready", "127.0.0.1:2"},
+                                        {"listen.control", "127.0.0.1:3"},
+                                        {"platform.address", "127.0.0.1:4"}};
+
+// The parts of the terms, as deployments have them, and the limits of each.
+const std::map<std::string, placeholder_values> kTerms = {
+    {"base",
+     {{"bounds.drainS", "2.5"},
+      {"bounds.graceS", "6"},
+      {"bounds.configApplyS", "2.5"}}},
+    {"retry",
+     {{"bounds.retryBudgetRatio", "0.2"},
+      {"bounds.budgetWindowS", "10"},
+      {"bounds.budgetSlack", "168"}}},
+    {"health", {{"bounds.probesPerS", "42"}}},
+    {"rollout", {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}}},
+    {"start", {{"bootstrap", "true"}}}};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  REQUIRE(file.good());
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Fills the deployment's template; a placeholder without a value gives nothing,
+// as the platform does it.
+std::string FillTemplate(const placeholder_values& values) {
+  const std::string text = std::regex_replace(
+      ReadFile(DOTTERELLEAD_ENTRY_TEMPLATE),
+      std::regex(R"(\{\{#(\w+)\}\}.*\{\{/\1\}\})"), "\"127.0.0.1:5\"");
+  const std::regex placeholder(R"(\{\{([\w.]+)\}\})");
+  std::string filled;
+  auto rest = text.cbegin();
+  for (std::sregex_iterator it(text.begin(), text.end(), placeholder), end;
+       it != end; ++it) {
+    filled.append(rest, (*it)[0].first);
+    const auto value = values.find((*it)[1]);
+    if (value != values.end())
+      filled += value->second;
+    rest = (*it)[0].second;
+  }
+  return filled.append(rest, text.cend());
+}
+
+entry_settings ReadFilled(const std::string& text) {
+  const std::string path =
+      "/tmp/entry_settings_test." + std::to_string(getpid());
+  std::ofstream(path) << text;
+  const char* arguments[] = {"dotterellead", "--config", path.c_str()};
+  int exit_code = 0;
+  std::optional<entry_settings> settings;
+  try {
+    settings = ReadSettings(std::size(arguments), arguments, exit_code);
+  } catch (...) {
+    unlink(path.c_str());
+    throw;
+  }
+  unlink(path.c_str());
+  REQUIRE(settings.has_value());
+  return *settings;
+}
+
+std::string WithoutLine(const std::string& text, const std::string& name) {
+  return std::regex_replace(text, std::regex("(^|\n)" + name + "=[^\n]*"), "");
+}
+
+}  // namespace
+
+// Guards against hosts that do not start on a deployment whose terms lack a
+// part: the template then writes empty values.
+TEST_CASE("the settings are read for each subset of the terms") {
+  const std::size_t subsets = std::size_t{1} << kTerms.size();
+  for (std::size_t subset = 0; subset < subsets; ++subset) {
+    CAPTURE(subset);
+    placeholder_values values = kHostValues;
+    std::size_t bit = 0;
+    for (const auto& [part, limits] : kTerms)
+      if ((subset >> bit++ & 1) != 0)
+        values.insert(limits.begin(), limits.end());
+    const entry_settings s = ReadFilled(FillTemplate(values));
+    CHECK(s.has_moves == values.contains("bounds.exposeShare"));
+    CHECK(s.is_first_start == values.contains("bootstrap"));
+    CHECK(s.retry_allowance ==
+          (values.contains("bounds.budgetSlack") ? 168 : 50));
+    CHECK(s.max_probe_rate == (values.contains("bounds.probesPerS") ? 42 : 60));
+    CHECK(DescribeMissingSettings(s).empty() ==
+          (values.contains("bounds.drainS") &&
+           values.contains("bounds.budgetSlack") &&
+           values.contains("bounds.probesPerS") &&
+           values.contains("bounds.exposeShare")));
+  }
+}
+
+TEST_CASE("each limit may be absent or empty by itself") {
+  placeholder_values all = kHostValues;
+  for (const auto& [part, limits] : kTerms)
+    all.insert(limits.begin(), limits.end());
+  const std::string filled = FillTemplate(all);
+  CHECK(ReadFilled(filled).missing.empty());
+  for (const char* name :
+       {"expose-share", "expose-slack", "stop-s", "config-s", "drain-s",
+        "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s"}) {
+    CAPTURE(name);
+    const std::string absent = WithoutLine(filled, name);
+    REQUIRE(absent != filled);
+    for (const std::string& text : {absent, absent + "\n" + name + "=\n",
+                                    absent + "\n" + name + "=\"\""}) {
+      const entry_settings s = ReadFilled(text);
+      CHECK(s.missing == std::vector<std::string>{name});
+      CHECK(DescribeMissingSettings(s).starts_with(name));
+    }
+  }
+}
+
+TEST_CASE("unknown settings are ignored") {
+  CHECK(ReadFilled(FillTemplate(kHostValues) + "\nnot-a-setting=7\n").host ==
+        member_id("h1"));
+}
+
+TEST_CASE("a value out of range names the setting, the value and the remedy") {
+  for (const auto& [line, remedy] : std::map<std::string, std::string>{
+           {"expose-share=1.5", "0 to 1"},
+           {"expose-share=nan", "0 to 1"},
+           {"probes-per-s=0", "0.1 to 1e+06"},
+           {"stop-s=6x", "0.1 to 600"},
+           {"first-start=maybe", "true or false"}}) {
+    CAPTURE(line);
+    const std::size_t split = line.find('=');
+    const std::string name = line.substr(0, split);
+    const std::string text =
+        WithoutLine(FillTemplate(kHostValues), name) + "\n" + line + "\n";
+    try {
+      ReadFilled(text);
+      FAIL("accepted");
+    } catch (const invalid_setting_error& e) {
+      CHECK(e.problem() ==
+            "setting " + name + " is '" + line.substr(split + 1) + "'");
+      CHECK(e.remedy().find(remedy) != std::string::npos);
+    }
+  }
+}
