--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -16,27 +16,28 @@
 using placeholder_values = std::map<std::string, std::string>;
 
 // The placeholders of the template that every deployment fills in.
-const placeholder_values kHostValues = {{"node", "h1"},
-                                        {"zone", "dc-a"},
-                                        {"ip", "127.0.0.1"},
-                                        {"listen.front", "127.0.0.1:1"},
-                                        {"listen.ready", "127.0.0.1:2"},
-                                        {"listen.control", "127.0.0.1:3"},
-                                        {"platform.address", "127.0.0.1:4"}};
+placeholder_values HostValues() {
+  return {{"node", "h1"},
+          {"zone", "dc-a"},
+          {"ip", "127.0.0.1"},
+          {"listen.front", "127.0.0.1:1"},
+          {"listen.ready", "127.0.0.1:2"},
+          {"listen.control", "127.0.0.1:3"},
+          {"platform.address", "127.0.0.1:4"}};
+}
 
 // The parts of the terms, as deployments have them, and the limits of each.
-const std::map<std::string, placeholder_values> kTerms = {
-    {"base",
-     {{"bounds.drainS", "2.5"},
-      {"bounds.graceS", "6"},
-      {"bounds.configApplyS", "2.5"}}},
-    {"retry",
-     {{"bounds.retryBudgetRatio", "0.2"},
-      {"bounds.budgetWindowS", "10"},
-      {"bounds.budgetSlack", "168"}}},
-    {"health", {{"bounds.probesPerS", "42"}}},
-    {"rollout", {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}}},
-    {"start", {{"bootstrap", "true"}}}};
+std::vector<placeholder_values> Terms() {
+  return {{{"bounds.drainS", "2.5"},
+           {"bounds.graceS", "6"},
+           {"bounds.configApplyS", "2.5"}},
+          {{"bounds.retryBudgetRatio", "0.2"},
+           {"bounds.budgetWindowS", "10"},
+           {"bounds.budgetSlack", "168"}},
+          {{"bounds.probesPerS", "42"}},
+          {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}},
+          {{"bootstrap", "true"}}};
+}
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
@@ -93,14 +94,14 @@
 // Guards against hosts that do not start on a deployment whose terms lack a
 // part: the template then writes empty values.
 TEST_CASE("the settings are read for each subset of the terms") {
-  const std::size_t subsets = std::size_t{1} << kTerms.size();
+  const std::vector<placeholder_values> terms = Terms();
+  const std::size_t subsets = std::size_t{1} << terms.size();
   for (std::size_t subset = 0; subset < subsets; ++subset) {
     CAPTURE(subset);
-    placeholder_values values = kHostValues;
-    std::size_t bit = 0;
-    for (const auto& [part, limits] : kTerms)
-      if ((subset >> bit++ & 1) != 0)
-        values.insert(limits.begin(), limits.end());
+    placeholder_values values = HostValues();
+    for (std::size_t part = 0; part < terms.size(); ++part)
+      if ((subset >> part & 1) != 0)
+        values.insert(terms[part].begin(), terms[part].end());
     const entry_settings s = ReadFilled(FillTemplate(values));
     CHECK(s.has_moves == values.contains("bounds.exposeShare"));
     CHECK(s.is_first_start == values.contains("bootstrap"));
@@ -116,8 +117,8 @@
 }
 
 TEST_CASE("each limit may be absent or empty by itself") {
-  placeholder_values all = kHostValues;
-  for (const auto& [part, limits] : kTerms)
+  placeholder_values all = HostValues();
+  for (const placeholder_values& limits : Terms())
     all.insert(limits.begin(), limits.end());
   const std::string filled = FillTemplate(all);
   CHECK(ReadFilled(filled).missing.empty());
@@ -137,29 +138,33 @@
 }
 
 TEST_CASE("unknown settings are ignored") {
-  CHECK(ReadFilled(FillTemplate(kHostValues) + "\nnot-a-setting=7\n").host ==
+  CHECK(ReadFilled(FillTemplate(HostValues()) + "\nnot-a-setting=7\n").host ==
         member_id("h1"));
 }
 
 TEST_CASE("a value out of range names the setting, the value and the remedy") {
-  for (const auto& [line, remedy] : std::map<std::string, std::string>{
-           {"expose-share=1.5", "0 to 1"},
-           {"expose-share=nan", "0 to 1"},
-           {"probes-per-s=0", "0.1 to 1e+06"},
-           {"stop-s=6x", "0.1 to 600"},
-           {"first-start=maybe", "true or false"}}) {
-    CAPTURE(line);
-    const std::size_t split = line.find('=');
-    const std::string name = line.substr(0, split);
+  struct invalid_value {
+    std::string name;
+    std::string value;
+    std::string remedy;
+  };
+  for (const invalid_value& invalid :
+       std::vector<invalid_value>{{"expose-share", "1.5", "0 to 1"},
+                                  {"expose-share", "nan", "0 to 1"},
+                                  {"probes-per-s", "0", "0.1 to 1e+06"},
+                                  {"stop-s", "6x", "0.1 to 600"},
+                                  {"first-start", "maybe", "true or false"}}) {
+    CAPTURE(invalid.name);
     const std::string text =
-        WithoutLine(FillTemplate(kHostValues), name) + "\n" + line + "\n";
+        WithoutLine(FillTemplate(HostValues()), invalid.name) + "\n" +
+        invalid.name + "=" + invalid.value + "\n";
     try {
       ReadFilled(text);
       FAIL("accepted");
     } catch (const invalid_setting_error& e) {
       CHECK(e.problem() ==
-            "setting " + name + " is '" + line.substr(split + 1) + "'");
-      CHECK(e.remedy().find(remedy) != std::string::npos);
+            "setting " + invalid.name + " is '" + invalid.value + "'");
+      CHECK(e.remedy().find(invalid.remedy) != std::string::npos);
     }
   }
 }
