Give control clients request headers and access to response headers

The usage reports need to send a holder and a fencing token with a call, and the store states its era in a header of each response. Both go through this client; its test checks both directions.

--- a/packages/net/include/dotterellead/control_client.h
+++ b/packages/net/include/dotterellead/control_client.h
@@ -5,6 +5,8 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "dotterellead/net.h"
 
@@ -17,6 +19,15 @@
   int status = 0;
   // Body of the response; the error message if there was none.
   std::string body;
+  http::fields headers;
+  // Value of a header; empty if it is absent.
+  std::string_view Header(std::string_view name) const;
+};
+
+// A header of a request.
+struct control_header {
+  std::string name;
+  std::string value;
 };
 
 // Keeps one connection open between requests. Supports one request at a time.
@@ -26,10 +37,16 @@
       : io_(io), server_(server) {}
 
   // Sends one request and waits at most `timeout` for the response. GCC 12
-  // destroys temporaries in a co_await expression twice, so pass named strings.
+  // destroys temporaries in a co_await expression twice, so pass named strings
+  // and vectors.
+  task<control_response> Send(http::verb verb,
+                              const std::string& target,
+                              const std::string& body,
+                              milliseconds timeout);
   task<control_response> Send(http::verb verb,
                               const std::string& target,
                               const std::string& body,
+                              const std::vector<control_header>& headers,
                               milliseconds timeout);
   const catalog::endpoint& server() const { return server_; }
 
--- a/packages/net/src/control_client.cc
+++ b/packages/net/src/control_client.cc
@@ -11,10 +11,27 @@
 
 }  // namespace
 
+std::string_view control_response::Header(std::string_view name) const {
+  const auto it = headers.find(beast::string_view(name.data(), name.size()));
+  if (it == headers.end())
+    return {};
+  return {it->value().data(), it->value().size()};
+}
+
 task<control_response> control_client::Send(http::verb verb,
                                             const std::string& target,
                                             const std::string& body,
                                             milliseconds timeout) {
+  const std::vector<control_header> no_headers;
+  co_return co_await Send(verb, target, body, no_headers, timeout);
+}
+
+task<control_response> control_client::Send(
+    http::verb verb,
+    const std::string& target,
+    const std::string& body,
+    const std::vector<control_header>& headers,
+    milliseconds timeout) {
   error_code ec;
   const time_point deadline = std::chrono::steady_clock::now() + timeout;
   if (!stream_) {
@@ -32,6 +49,8 @@
     request.set(http::field::host, to_string(server_));
     if (!body.empty() && body.front() == '{')
       request.set(http::field::content_type, "application/json");
+    for (const control_header& header : headers)
+      request.set(header.name, header.value);
     request.body() = body;
     request.prepare_payload();
     co_await http::async_write(*stream_, request, Resume(ec));
@@ -48,6 +67,7 @@
   response.status = static_cast<int>(parser.get().result_int());
   const bool is_keep_alive = parser.get().keep_alive();
   response.body = std::move(parser.get().body());
+  response.headers = std::move(parser.get().base());
   if (!is_keep_alive)
     stream_.reset();
   co_return response;
--- a/packages/net/tests/net_test.cc
+++ b/packages/net/tests/net_test.cc
@@ -24,6 +24,8 @@
     loop_.Start("test");
   }
   ~fixed_server() { loop_.Stop(); }
+  // Header of the last request; valid once its response has arrived.
+  const http::request_header<>& last_request() const { return last_request_; }
 
  private:
   task<> Accept() {
@@ -34,11 +36,13 @@
       beast::flat_buffer buffer;
       http::request<http::string_body> request;
       co_await http::async_read(stream, buffer, request, Resume(ec));
+      last_request_ = request.base();
       co_await asio::async_write(stream, asio::buffer(answer_), Resume(ec));
     }
   }
 
   std::string answer_;
+  http::request_header<> last_request_;
   event_loop loop_;
   tcp::acceptor acceptor_;
 };
@@ -69,6 +73,28 @@
   }
 }
 
+TEST_CASE("a request carries its headers, and a response gives access to its") {
+  const fixed_server server(
+      "HTTP/1.1 200 OK\r\nX-Number: 7\r\nContent-Length: 0\r\n\r\n");
+  asio::io_context io;
+  control_client client(io, kAddress);
+  control_response response;
+  const std::vector<control_header> headers = {{"X-Name", "a"}};
+  const std::string no_body;
+  asio::co_spawn(
+      io,
+      [&]() -> task<> {
+        response = co_await client.Send(http::verb::get, "/x", no_body, headers,
+                                        milliseconds(500));
+      },
+      asio::detached);
+  io.run();
+  CHECK(response.status == 200);
+  CHECK(response.Header("x-number") == "7");
+  CHECK(response.Header("X-Other").empty());
+  CHECK(server.last_request()["X-Name"] == "a");
+}
+
 TEST_CASE("a handler that throws does not end the event loop") {
   const std::uint64_t before = UnexpectedErrorCount();
   event_loop loop;
