--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -69,6 +69,8 @@
 using pool_id = text_id<struct pool_tag>;
 using data_centre_id = text_id<struct data_centre_tag>;
 using tenant_id = text_id<struct tenant_tag>;
+// An organisation whose callers hold keys.
+using customer_id = text_id<struct customer_tag>;
 using version_id = text_id<struct version_tag>;
 using move_id = text_id<struct move_tag>;
 // A route, by its position in the pool's route list.
