Carry usage reports up and the leader's fencing token down the tree

The leader needs the counts of all hosts, and the hosts must send them again when the leader changes. A sync request gains the field usage, a response the field token; both are absent when the part is off, and hosts of the previous release ignore them. Reports leave a host once its parent has acknowledged them; after a change of the parent or the leader they are sent again.

--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -16,6 +16,7 @@
 #include "dotterellead/catalog.h"
 #include "dotterellead/core.h"
 #include "dotterellead/moves.h"
+#include "dotterellead/usage.h"
 
 namespace dotterellead::fleet {
 
@@ -124,6 +125,8 @@
   std::array<stream_updates, kStreams> updates;
   moves::counter_table counters;
   std::vector<crash_event> crash_events;
+  // Usage reports of the sender and its descendants.
+  std::vector<usage::host_report> usage;
   // Versions of the lists that the sender received last; 0 for none.
   std::uint64_t hosts_version = 0;
   std::uint64_t stages_version = 0;
@@ -146,6 +149,8 @@
   std::uint64_t stages_version = 0;
   std::vector<crash_event> crash_events;
   std::uint64_t events_version = 0;
+  // Fencing token of the leader of usage reports, if one is known.
+  std::optional<usage::fencing_token> leader_token;
 };
 
 // JSON encoding of the messages. Decoding throws protocol_error if the text is
@@ -184,6 +189,12 @@
   std::function<void(std::vector<moves::stage>)> on_stages;
   std::function<void(moves::counter_table)> on_counters;
   std::function<void(request_fingerprint)> on_crash;
+  // Usage reports of other hosts that arrived at the root. May be empty, as
+  // on_leader_token, if this host neither sends nor collects reports.
+  std::function<void(std::vector<usage::host_report>)> on_usage;
+  // The leader of usage reports changed, or the parent of this host; recent
+  // reports are to be sent again.
+  std::function<void(usage::fencing_token)> on_leader_token;
 };
 
 // Runs the host's part of the tree on its own thread. All methods but Start and
@@ -205,6 +216,10 @@
   void ReportCounters(moves::counter_table counters);
   // Distributes a server crash to all other hosts.
   void ReportCrash(request_fingerprint fingerprint);
+  // Sends usage reports of this host to the root.
+  void ReportUsage(std::vector<usage::host_report> reports);
+  // Distributes the token of this host, which leads; used by the root.
+  void PublishLeaderToken(usage::fencing_token token);
 
  private:
   class impl;
--- a/packages/fleet/src/children.cc
+++ b/packages/fleet/src/children.cc
@@ -67,6 +67,7 @@
     callbacks_.on_counters(request.counters);
   for (const crash_event& event : request.crash_events)
     AddCrashEvent(event, false);
+  PassUsage(request.usage);
   UpdateLiveHosts();
 }
 
@@ -115,6 +116,7 @@
   response.stages_version = stages_version_;
   response.crash_events = CrashEventsSince(request.events_version);
   response.events_version = events_version_;
+  response.leader_token = leader_token_;
   return response;
 }
 
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -1,5 +1,6 @@
 #include "dotterellead/fleet.h"
 #include "dotterellead/json.h"
+#include "usage_codec.h"
 
 namespace dotterellead::fleet {
 
@@ -256,6 +257,8 @@
     json["tallies"] = FromCounters(request.counters);
   if (!request.crash_events.empty())
     json["events"] = FromEvents(request.crash_events);
+  if (!request.usage.empty())
+    json["usage"] = FromUsage(request.usage);
   json["hosts"] = Number(request.hosts_version);
   json["stages"] = Number(request.stages_version);
   json["seen"] = Number(request.events_version);
@@ -278,6 +281,7 @@
   request.updates = ToUpdates(MemberOrNull(json, "news"));
   request.counters = ToCounters(MemberOrNull(json, "tallies"));
   request.crash_events = ToEvents(MemberOrNull(json, "events"));
+  request.usage = ToUsage(MemberOrNull(json, "usage"));
   request.hosts_version = Count(MemberOrNull(json, "hosts"));
   request.stages_version = Count(MemberOrNull(json, "stages"));
   request.events_version = Count(MemberOrNull(json, "seen"));
@@ -300,6 +304,8 @@
   if (!response.crash_events.empty())
     json["events"] = FromEvents(response.crash_events);
   json["events_version"] = Number(response.events_version);
+  if (response.leader_token)
+    json["token"] = Number(response.leader_token->value());
   return FormatJson(json);
 }
 
@@ -316,6 +322,9 @@
   response.stages_version = Count(MemberOrNull(json, "stages_version"));
   response.crash_events = ToEvents(MemberOrNull(json, "events"));
   response.events_version = Count(MemberOrNull(json, "events_version"));
+  if (!MemberOrNull(json, "token").isNull())
+    response.leader_token =
+        usage::fencing_token(Count(MemberOrNull(json, "token")));
   return response;
 }
 
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -53,26 +53,49 @@
 }
 
 void fleet_duty::impl::HandleCommand(command& c) {
-  std::visit(overloaded{[this](update_batch& batch) {
-                          ApplyUpdates(batch);
-                          StartPushToParent();
-                        },
-                        [this](std::vector<moves::stage>& stages) {
-                          stages_ = std::move(stages);
-                          stages_version_ = VersionOf(stages_);
-                          WakeWaiters();
-                        },
-                        [this](report_counters& t) {
-                          for (const auto& [key, counters] : t.counters)
-                            counters_[key].Add(counters);
-                        },
-                        [this](report_crash& seen) {
-                          AddCrashEvent(
-                              {settings_.self.name, ++own_event_count_,
-                               settings_.incarnation, seen.fingerprint},
-                              false);
-                        }},
-             c);
+  std::visit(
+      overloaded{[this](update_batch& batch) {
+                   ApplyUpdates(batch);
+                   StartPushToParent();
+                 },
+                 [this](std::vector<moves::stage>& stages) {
+                   stages_ = std::move(stages);
+                   stages_version_ = VersionOf(stages_);
+                   WakeWaiters();
+                 },
+                 [this](report_counters& t) {
+                   for (const auto& [key, counters] : t.counters)
+                     counters_[key].Add(counters);
+                 },
+                 [this](report_crash& seen) {
+                   AddCrashEvent({settings_.self.name, ++own_event_count_,
+                                  settings_.incarnation, seen.fingerprint},
+                                 false);
+                 },
+                 [this](std::vector<usage::host_report>& reports) {
+                   PassUsage(std::move(reports));
+                 },
+                 [this](usage::fencing_token token) { SetLeaderToken(token); }},
+      c);
+}
+
+void fleet_duty::impl::PassUsage(std::vector<usage::host_report> reports) {
+  if (!is_root_)
+    usage_.Add(std::move(reports));
+  else if (!reports.empty() && callbacks_.on_usage)
+    callbacks_.on_usage(std::move(reports));
+}
+
+void fleet_duty::impl::SetLeaderToken(usage::fencing_token token) {
+  // Tokens only increase, so a lower one is of an earlier leader.
+  if (leader_token_ && token <= *leader_token_)
+    return;
+  leader_token_ = token;
+  if (callbacks_.on_leader_token)
+    callbacks_.on_leader_token(token);
+  // Ends the wait of the children's requests.
+  ++refresh_count_;
+  WakeWaiters();
 }
 
 void fleet_duty::impl::ApplyUpdates(const update_batch& batch) {
@@ -141,5 +164,11 @@
 void fleet_duty::ReportCrash(request_fingerprint fingerprint) {
   impl_->Push(report_crash{fingerprint});
 }
+void fleet_duty::ReportUsage(std::vector<usage::host_report> reports) {
+  impl_->Push(std::move(reports));
+}
+void fleet_duty::PublishLeaderToken(usage::fencing_token token) {
+  impl_->Push(token);
+}
 
 }  // namespace dotterellead::fleet
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -11,6 +11,7 @@
 #include "dotterellead/mailbox.h"
 #include "dotterellead/spawn.h"
 #include "host_directory.h"
+#include "usage_relay.h"
 
 namespace dotterellead::fleet {
 
@@ -54,7 +55,9 @@
 using command = std::variant<update_batch,
                              std::vector<moves::stage>,
                              report_counters,
-                             report_crash>;
+                             report_crash,
+                             std::vector<usage::host_report>,
+                             usage::fencing_token>;
 
 // Version of a list, derived from a hash of its contents. Fits into a JSON
 // number without loss.
@@ -118,6 +121,12 @@
 
   void WakeWaiters() { changed_.cancel(); }
 
+  // Keeps usage reports for the parent; on the root, delivers them.
+  void PassUsage(std::vector<usage::host_report> reports);
+
+  // Passes on the token if it is higher than the known one.
+  void SetLeaderToken(usage::fencing_token token);
+
   // Caches updates that this host read or received, and wakes waiting children.
   void ApplyUpdates(const update_batch& batch);
 
@@ -240,6 +249,8 @@
   std::uint64_t parent_events_version_ = 0;
   moves::counter_table counters_;
   std::vector<crash_event> unreported_crashes_;
+  usage_relay usage_;
+  std::optional<usage::fencing_token> leader_token_;
 };
 
 }  // namespace dotterellead::fleet
--- a/packages/fleet/src/parent.cc
+++ b/packages/fleet/src/parent.cc
@@ -40,6 +40,9 @@
   parent_events_version_ = 0;
   parent_hosts_version_ = 0;
   parent_stages_version_ = 0;
+  // The former parent may have lost the reports that it acknowledged.
+  if (leader_token_ && callbacks_.on_leader_token)
+    callbacks_.on_leader_token(*leader_token_);
 }
 
 // Hosts that are preferred to the current parent are queried before they
@@ -82,6 +85,8 @@
     return;
   is_root_ = is_root;
   callbacks_.on_role_changed(is_root);
+  if (is_root)
+    PassUsage(usage_.Take());
 }
 
 // Queries all seeds concurrently, so that one that is down does not delay the
@@ -208,6 +213,7 @@
           UpdatesSince(kAllStreams[i], parent_end_offsets_[i], now);
   request.counters = std::exchange(counters_, {});
   request.crash_events = std::exchange(unreported_crashes_, {});
+  request.usage = usage_.Take();
   request.hosts_version = parent_hosts_version_;
   request.stages_version = parent_stages_version_;
   request.events_version = parent_events_version_;
@@ -220,6 +226,7 @@
     // change a verdict.
     for (const auto& [key, counters] : request.counters)
       counters_[key].Add(counters);
+    PassUsage(std::move(request.usage));
     co_return false;
   }
   try {
@@ -251,6 +258,8 @@
   parent_events_version_ = std::max<std::uint64_t>(response.events_version, 1);
   for (const crash_event& event : response.crash_events)
     AddCrashEvent(event, true);
+  if (response.leader_token)
+    SetLeaderToken(*response.leader_token);
 }
 
 }  // namespace dotterellead::fleet
--- a/packages/fleet/tests/codec_fuzz_test.cc
+++ b/packages/fleet/tests/codec_fuzz_test.cc
@@ -24,6 +24,10 @@
       10, 3};
   r.crash_events = {
       {member_id("x"), 4, incarnation_id(77), request_fingerprint(5)}};
+  r.usage = {{member_id("x"),
+              incarnation_id(4),
+              usage::window_number(5),
+              {{customer_id("c"), 2}, {customer_id("d"), 3}}}};
   r.max_wait = milliseconds(400);
   return r;
 }
@@ -39,6 +43,7 @@
   s.order = log_offset(9);
   a.stages = {s};
   a.crash_events = FullRequest().crash_events;
+  a.leader_token = usage::fencing_token(12);
   return a;
 }
 
--- a/packages/fleet/tests/external_names_test.cc
+++ b/packages/fleet/tests/external_names_test.cc
@@ -19,6 +19,10 @@
                     catalog::route_name("r")}] = {1, 0};
   request.crash_events = {
       {member_id("x"), 4, incarnation_id(77), request_fingerprint(5)}};
+  request.usage = {{member_id("x"),
+                    incarnation_id(1),
+                    usage::window_number(5),
+                    {{customer_id("c"), 2}}}};
   request.is_inquiry = true;
   sync_response response;
   response.self = request.self;
@@ -26,6 +30,7 @@
   response.hosts = request.descendants;
   response.stages = {moves::stage{}};
   response.crash_events = request.crash_events;
+  response.leader_token = usage::fencing_token(4);
   std::set<std::string> names;
   CollectNames(*ParseJson(EncodeRequest(request)), names);
   CollectNames(*ParseJson(EncodeResponse(response)), names);
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -55,6 +55,13 @@
     callbacks.on_crash = [this](request_fingerprint f) {
       crash_fingerprint = f.value();
     };
+    callbacks.on_usage = [this](const std::vector<usage::host_report>& r) {
+      std::lock_guard lock(mutex);
+      usage.insert(usage.end(), r.begin(), r.end());
+    };
+    callbacks.on_leader_token = [this](usage::fencing_token t) {
+      token = t.value();
+    };
     duty = std::make_unique<fleet_duty>(settings, std::move(callbacks));
     duty->Start();
   }
@@ -64,6 +71,11 @@
     return it == values.end() ? "" : it->second;
   }
 
+  std::vector<usage::host_report> Usage() {
+    std::lock_guard lock(mutex);
+    return usage;
+  }
+
   time_point CompleteAt() {
     std::lock_guard lock(mutex);
     return complete_at;
@@ -71,12 +83,14 @@
 
   std::mutex mutex;
   std::map<std::string, std::string> values;
+  std::vector<usage::host_report> usage;
   // Completeness time of the newest batch received.
   time_point complete_at{};
   std::atomic<std::size_t> live_count = 0;
   std::atomic<std::size_t> stage_count = 0;
   std::atomic<std::uint64_t> attempts = 0;
   std::atomic<std::uint64_t> crash_fingerprint = 0;
+  std::atomic<std::uint64_t> token = 0;
   std::atomic<bool> is_root = false;
   std::unique_ptr<fleet_duty> duty;
 };
@@ -186,6 +200,14 @@
                     catalog::route_name("r")}] = {10, 3};
   request.crash_events = {{member_id("x"), 4, incarnation_id(77),
                            request_fingerprint(0xfedcba9876543210)}};
+  request.usage = {{member_id("x"),
+                    incarnation_id(4),
+                    usage::window_number(5),
+                    {{customer_id("c"), 2}, {customer_id("d"), 3}}},
+                   {member_id("y"),
+                    incarnation_id(4),
+                    usage::window_number(5),
+                    {{customer_id("d"), 1}}}};
   request.max_wait = milliseconds(400);
   const sync_request got = DecodeRequest(EncodeRequest(request));
   CHECK(got.self == request.self);
@@ -196,6 +218,7 @@
   CHECK_FALSE(got.updates[1].updates[1].value);
   CHECK(got.updates[1].age == milliseconds(12));
   CHECK(got.counters == request.counters);
+  CHECK(got.usage == request.usage);
   CHECK(got.crash_events[0].fingerprint == request.crash_events[0].fingerprint);
 
   sync_response response;
@@ -210,9 +233,11 @@
   s.step = 3;
   response.stages = {s};
   response.hosts = request.descendants;
+  response.leader_token = usage::fencing_token(0);
   const sync_response decoded = DecodeResponse(EncodeResponse(response));
   CHECK(decoded.stages == response.stages);
   CHECK(decoded.hosts == response.hosts);
+  CHECK(decoded.leader_token == response.leader_token);
 }
 
 TEST_CASE("malformed messages are rejected as a whole") {
@@ -263,6 +288,37 @@
   CHECK(Within(kTimeout, [&] { return near.crash_fingerprint == 42; }));
 }
 
+// Guards against reports that end at the head of a data centre, and against
+// hosts that do not learn of a new leader.
+TEST_CASE("usage reports reach the root, and its token all hosts") {
+  const std::vector<catalog::endpoint> seeds = {{0x7f000001, 23405},
+                                                {0x7f000001, 23406}};
+  fleet_host root("a1", "a", 23405, seeds);
+  fleet_host head("b1", "b", 23406, seeds);
+  fleet_host leaf("b2", "b", 23407, seeds);
+  CHECK(Within(kTimeout, [&] { return leaf.live_count == 3; }));
+  const usage::host_report report{member_id("b2"),
+                                  incarnation_id(7),
+                                  usage::window_number(9),
+                                  {{customer_id("c"), 3}}};
+  leaf.duty->ReportUsage({report});
+  CHECK(Within(kTimeout, [&] { return !root.Usage().empty(); }));
+  CHECK(root.Usage() == std::vector<usage::host_report>{report});
+  CHECK(head.Usage().empty());
+  root.duty->PublishLeaderToken(usage::fencing_token(5));
+  CHECK(Within(kTimeout, [&] { return leaf.token == 5; }));
+}
+
+// Guards against messages that a host of the previous release would not expect.
+TEST_CASE("messages of a fleet without usage reports have no further fields") {
+  sync_request request;
+  request.self = Host("a", "z", 1);
+  CHECK(EncodeRequest(request).find("usage") == std::string::npos);
+  sync_response response;
+  response.self = request.self;
+  CHECK(EncodeResponse(response).find("token") == std::string::npos);
+}
+
 TEST_CASE("when the root stops, the next host becomes the root") {
   const std::vector<catalog::endpoint> seeds = {{0x7f000001, 23411}};
   auto root = std::make_unique<fleet_host>("a1", "a", 23411, seeds);
--- a/packages/usage/include/dotterellead/usage.h
+++ b/packages/usage/include/dotterellead/usage.h
@@ -150,7 +150,12 @@
 
 // Position in the store's log: era times 2^40 plus offset. The same formula as
 // MakePosition of platform/src/store_position.h.
-std::uint64_t PositionOf(std::uint64_t era, std::uint64_t offset);
+constexpr std::uint64_t PositionOf(std::uint64_t era, std::uint64_t offset) {
+  constexpr int kOffsetBits = 40;
+  return (era << kOffsetBits) + offset;
+}
+// One more than the position, since the service may start at 0.
+fencing_token TokenOf(std::uint64_t era, std::uint64_t offset);
 
 // A host became the leader.
 struct takeover_record {
@@ -186,7 +191,7 @@
   // Forgets the offsets, not which windows were recorded.
   void StartEra(std::uint64_t era);
   void Apply(const std::string& text);
-  // Continues at a later offset; the records before it are gone.
+  // Continues at a later offset; the records before it are not needed.
   void SkipTo(std::uint64_t offset) { next_offset_ = offset; }
   // No window of the task before `window` may be recorded.
   void RaiseNext(const std::string& task, window_number window);
@@ -316,6 +321,9 @@
 
   // Whether this host is the root of the fleet.
   void SetRoot(bool is_root);
+  // Another host leads with this token. Its takeover record says what the
+  // records before it do, so that they need not be read.
+  void SetOtherToken(fencing_token token);
   // The action to execute now, if any.
   std::optional<leader_action> Next(const moment& now);
   void Handle(const read_result& result, const moment& now);
--- a/packages/usage/src/duty_log.cc
+++ b/packages/usage/src/duty_log.cc
@@ -33,9 +33,8 @@
 
 }  // namespace
 
-std::uint64_t PositionOf(std::uint64_t era, std::uint64_t offset) {
-  constexpr int kOffsetBits = 40;
-  return (era << kOffsetBits) + offset;
+fencing_token TokenOf(std::uint64_t era, std::uint64_t offset) {
+  return fencing_token(PositionOf(era, offset) + 1);
 }
 
 std::string EncodeRecord(const duty_record& record) {
@@ -80,15 +79,14 @@
 }
 
 void duty_log::Apply(const std::string& text) {
-  const std::uint64_t position = PositionOf(era_.value_or(0), next_offset_++);
+  const fencing_token token = TokenOf(era_.value_or(0), next_offset_++);
   const std::optional<duty_record> record = DecodeRecord(text);
   if (!record)
     return;
   recorded_era_ = std::max(
       recorded_era_, std::visit([](const auto& r) { return r.era; }, *record));
   if (const auto* taken = std::get_if<takeover_record>(&*record)) {
-    // One more than the position, since the service may start at 0.
-    takeover_ = takeover{*taken, fencing_token(position + 1)};
+    takeover_ = takeover{*taken, token};
     for (const auto& [task, window] : taken->next)
       RaiseNext(task, window);
   } else {
--- a/packages/usage/src/leader.cc
+++ b/packages/usage/src/leader.cc
@@ -32,6 +32,18 @@
   retry_at_ = boot_time();
 }
 
+void leader::SetOtherToken(fencing_token token) {
+  constexpr std::uint64_t kEraUnit = PositionOf(1, 0);
+  if (phase_ != phase::kFollowing || is_busy_ || token.value() == 0)
+    return;
+  const std::uint64_t position = token.value() - 1;
+  const std::uint64_t era = position / kEraUnit;
+  if (!log_.era() || era > *log_.era())
+    log_.StartEra(era);
+  if (era == *log_.era() && position % kEraUnit > log_.next_offset())
+    log_.SkipTo(position % kEraUnit);
+}
+
 std::optional<leader_action> leader::Next(const moment& now) {
   if (is_busy_ || now.boot < retry_at_)
     return std::nullopt;
--- a/packages/usage/tests/usage_world.h
+++ b/packages/usage/tests/usage_world.h
@@ -216,6 +216,7 @@
       for (auto& [name, other] : hosts) {
         other->known_token = token;
         other->counter.SendAgain();
+        other->role.SetOtherToken(*token);
       }
   }
 
