Report usage to the operations service from one leader

Each window of usage must be reported once. The dispatcher emits a count when the first attempt of a customer's request is sent, and reverts it if the server says that it did not run. It is on only with the settings operations and usage-window-s; a value may be empty.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -47,12 +47,15 @@
 }  // namespace
 
 entry_host::entry_host(entry_settings settings)
-    : settings_(std::move(settings)) {
+    : settings_(std::move(settings)),
+      incarnation_(static_cast<std::uint64_t>(clock_.Now().wall.value)) {
   MakeDispatcher();
   MakeTraffic();
   MakeMoves();
   MakeFleet();
   MakeStore();
+  if (settings_.operations_address.is_valid() && settings_.usage_window)
+    MakeUsage();
 }
 
 void entry_host::MakeDispatcher() {
@@ -95,7 +98,9 @@
                        counts.buffered_response_bytes);
   statistics_.SetGauge("open_callers", counts.open_caller_connections);
   statistics_.SetGauge("open_calls", counts.open_requests);
-  statistics_.SetGauge("store_calls_total", store_->request_count());
+  statistics_.SetGauge(
+      "store_calls_total",
+      store_->request_count() + (usage_ ? usage_->request_count() : 0));
   return statistics_.FormatMetrics();
 }
 
@@ -114,8 +119,7 @@
 void entry_host::MakeFleet() {
   fleet::fleet_settings f;
   f.self = {settings_.host, settings_.data_centre, settings_.peer_address};
-  f.incarnation =
-      incarnation_id(static_cast<std::uint64_t>(clock_.Now().wall.value));
+  f.incarnation = incarnation_;
   f.seeds = settings_.seeds;
   f.max_update_delay =
       std::min(settings_.max_config_delay, settings_.max_drain_delay);
@@ -136,11 +140,23 @@
             ++changed.local_host_count;
         }
         changed.data_centre_count = data_centres.size();
+        if (usage_)
+          usage_->SetLiveHosts(changed.live);
         Post(*dispatcher_, std::move(changed));
       };
   callbacks.on_role_changed = [this](bool is_root) {
     Post(*moves_, moves::role_changed{is_root});
     store_->SetRoot(is_root);
+    if (usage_)
+      usage_->SetRoot(is_root);
+  };
+  callbacks.on_usage = [this](std::vector<usage::host_report> reports) {
+    if (usage_)
+      usage_->AddReports(std::move(reports));
+  };
+  callbacks.on_leader_token = [this](usage::fencing_token token) {
+    if (usage_)
+      usage_->SetLeaderToken(token);
   };
   callbacks.on_stages = [this](std::vector<moves::stage> stages) {
     Post(*moves_, moves::stages_received{std::move(stages)});
@@ -172,7 +188,29 @@
   store_ = std::make_unique<adapter::store_duty>(s, std::move(callbacks));
 }
 
+void entry_host::MakeUsage() {
+  adapter::usage_settings u;
+  u.store_address = settings_.store_address;
+  u.operations_address = settings_.operations_address;
+  u.self = settings_.host;
+  u.incarnation = incarnation_;
+  u.windows = {*settings_.usage_window, settings_.max_usage_delay};
+  u.lease = settings_.leader_lease;
+  u.is_fenced = settings_.require_fencing;
+  adapter::usage_callbacks callbacks;
+  callbacks.on_reports = [this](std::vector<usage::host_report> reports) {
+    fleet_->ReportUsage(std::move(reports));
+  };
+  callbacks.on_leader_token = [this](usage::fencing_token token) {
+    fleet_->PublishLeaderToken(token);
+  };
+  usage_ =
+      std::make_unique<adapter::usage_duty>(std::move(u), std::move(callbacks));
+}
+
 entry_host::~entry_host() {
+  if (usage_)
+    usage_->Stop();
   store_->Stop();
   fleet_->Stop();
   traffic_->Stop();
@@ -186,6 +224,8 @@
   traffic_->Start();
   fleet_->Start();
   store_->Start();
+  if (usage_)
+    usage_->Start();
 }
 
 void entry_host::HandleCatalog(catalog::snapshot_ptr snapshot) {
@@ -223,6 +263,10 @@
     one[{observed->pool, observed->order, observed->is_target,
          observed->route}] = {1, observed->is_bad ? 1U : 0U};
     Post(*moves_, moves::attempts_counted{std::move(one)});
+  } else if (const auto* count =
+                 std::get_if<dispatch::customer_counted>(&effect)) {
+    if (usage_)
+      usage_->Count(count->customer, count->change, count->sent_at);
   } else {
     traffic_->Execute(std::move(effect));
   }
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -39,9 +39,12 @@
   void MakeMoves();
   void MakeFleet();
   void MakeStore();
+  void MakeUsage();
 
   entry_settings settings_;
   system_clock_source clock_;
+  // The start time, which identifies this run of the process.
+  incarnation_id incarnation_;
   std::atomic<bool> has_config_ = false;
   std::atomic<bool> is_draining_ = false;
   statistics::request_statistics statistics_;
@@ -50,6 +53,8 @@
   std::unique_ptr<duty<moves::move_machine>> moves_;
   std::unique_ptr<fleet::fleet_duty> fleet_;
   std::unique_ptr<adapter::store_duty> store_;
+  // Null if usage is not reported.
+  std::unique_ptr<adapter::usage_duty> usage_;
 };
 
 }  // namespace dotterellead::entry
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -70,6 +70,18 @@
     {"probes-per-s",
      "health checks that one server bears from all hosts a second", 0.1, 1e6,
      [](entry_settings& s, double v) { s.max_probe_rate = v; }, "60"},
+    {"usage-window-s", "seconds of usage that one report covers", 0.5,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.usage_window = FromSeconds(v); },
+     "usage reports are off"},
+    {"usage-late-s", "seconds after which a usage report is late", 1,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.max_usage_delay = FromSeconds(v); },
+     "10 s"},
+    {"lease-s", "seconds that a new leader waits before its first call", 0.5,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.leader_lease = FromSeconds(v); },
+     "3 s"},
 };
 
 double ParseLimit(const std::string& text, const limit_setting& limit) {
@@ -86,12 +98,12 @@
   return value;
 }
 
-bool ParseFirstStart(const std::string& text) {
+bool ParseBool(const std::string& text, const char* setting) {
   if (text.empty() || text == "false" || text == "0")
     return false;
   if (text == "true" || text == "1")
     return true;
-  throw invalid_setting_error("setting first-start is '" + text + "'",
+  throw invalid_setting_error(fmt::format("setting {} is '{}'", setting, text),
                               "give true or false, or leave it empty");
 }
 
@@ -108,10 +120,12 @@
                  "file of settings, one NAME=VALUE a line "
                  "(environment: DOTTERELLEAD_BOOT)",
                  file != nullptr);
-  std::string host, data_centre, front, ready, metrics, store, peers;
+  std::string host, data_centre, front, ready, metrics, store, peers,
+      operations;
   std::vector<std::string> seeds;
   std::string level = "info";
   std::string first_start;
+  std::string require_fencing;
   entry_settings s;
   app.add_option("--host", host, "name of this host")
       ->envname("DOTTERELLEAD_HOST")
@@ -145,6 +159,11 @@
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
   app.add_option("--first-start", first_start,
                  "true if all hosts start together for the first time");
+  app.add_option("--operations", operations,
+                 "address of the platform's operations service, IP:PORT; "
+                 "without it: usage reports are off");
+  app.add_option("--require-fencing", require_fencing,
+                 "true if the operations service checks fencing tokens");
   app.add_flag("--check", s.check_only, "checks the settings and ends");
   try {
     app.parse(argc, argv);
@@ -164,6 +183,8 @@
     s.metrics_address = ParseAddress(metrics, "metrics");
   s.store_address = ParseAddress(store, "store");
   s.peer_address = ParseAddress(peers, "peers");
+  if (!operations.empty())
+    s.operations_address = ParseAddress(operations, "operations");
   for (const std::string& seed : seeds)
     if (!seed.empty())
       s.seeds.push_back(ParseAddress(seed, "seeds"));
@@ -178,7 +199,8 @@
            s.missing.end();
   };
   s.has_moves = !is_missing("expose-share") && !is_missing("expose-slack");
-  s.is_first_start = ParseFirstStart(first_start);
+  s.is_first_start = ParseBool(first_start, "first-start");
+  s.require_fencing = ParseBool(require_fencing, "require-fencing");
   const std::map<std::string, log_level> levels{
       {"debug", log_level::kDebug},
       {"info", log_level::kInfo},
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -45,6 +45,14 @@
   // Whether operators may order moves to new versions. Off without a limit on
   // the exposure of new versions.
   bool has_moves = true;
+  // The platform's operations service, and the length of a window of usage
+  // reports. Without either, usage is neither counted nor reported.
+  catalog::endpoint operations_address;
+  std::optional<milliseconds> usage_window;
+  milliseconds max_usage_delay{10'000};
+  milliseconds leader_lease{3'000};
+  // Whether the operations service checks fencing tokens.
+  bool require_fencing = false;
   log_level level = log_level::kInfo;
   // Whether all hosts start together for the first time.
   bool is_first_start = false;
--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -35,6 +35,11 @@
            {"bounds.budgetWindowS", "10"},
            {"bounds.budgetSlack", "168"}},
           {{"bounds.probesPerS", "42"}},
+          {{"cloud.address", "127.0.0.1:6"},
+           {"bounds.windowS", "5"},
+           {"bounds.usageLateS", "10"},
+           {"bounds.leaseS", "3"},
+           {"bounds.requireFencing", "true"}},
           {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}},
           {{"bootstrap", "true"}}};
 }
@@ -107,11 +112,15 @@
     CHECK(s.is_first_start == values.contains("bootstrap"));
     CHECK(s.retry_allowance ==
           (values.contains("bounds.budgetSlack") ? 168 : 50));
+    CHECK(s.operations_address.is_valid() == values.contains("cloud.address"));
+    CHECK(s.usage_window.has_value() == values.contains("bounds.windowS"));
+    CHECK(s.require_fencing == values.contains("bounds.requireFencing"));
     CHECK(s.max_probe_rate == (values.contains("bounds.probesPerS") ? 42 : 60));
     CHECK(DescribeMissingSettings(s).empty() ==
           (values.contains("bounds.drainS") &&
            values.contains("bounds.budgetSlack") &&
            values.contains("bounds.probesPerS") &&
+           values.contains("bounds.windowS") &&
            values.contains("bounds.exposeShare")));
   }
 }
@@ -124,7 +133,8 @@
   CHECK(ReadFilled(filled).missing.empty());
   for (const char* name :
        {"expose-share", "expose-slack", "stop-s", "config-s", "drain-s",
-        "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s"}) {
+        "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s",
+        "usage-window-s", "usage-late-s", "lease-s"}) {
     CAPTURE(name);
     const std::string absent = WithoutLine(filled, name);
     REQUIRE(absent != filled);
@@ -153,7 +163,9 @@
                                   {"expose-share", "nan", "0 to 1"},
                                   {"probes-per-s", "0", "0.1 to 1e+06"},
                                   {"stop-s", "6x", "0.1 to 600"},
-                                  {"first-start", "maybe", "true or false"}}) {
+                                  {"first-start", "maybe", "true or false"},
+                                  {"require-fencing", "2", "true or false"},
+                                  {"usage-window-s", "0", "0.5 to 600"}}) {
     CAPTURE(invalid.name);
     const std::string text =
         WithoutLine(FillTemplate(HostValues()), invalid.name) + "\n" +
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -232,6 +232,14 @@
   bool is_bad = false;
 };
 
+// A server began to run a request of a customer (+1), or did not after all
+// (-1). Both state when the attempt was sent, so that they count in one window.
+struct customer_counted {
+  customer_id customer;
+  int change = 0;
+  time_point sent_at;
+};
+
 // Emitted once when a request completes. Input of the statistics.
 struct request_completed {
   catalog::route_name route;
@@ -288,6 +296,7 @@
                               close_connections,
                               crash_detected,
                               version_observed,
+                              customer_counted,
                               request_completed,
                               decision>;
 
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -127,6 +127,9 @@
   request.phase = request_phase::kProbing;
   if (!DidNotRun(m.result))
     request.earlier_attempt_may_have_run = true;
+  else if (!request.earlier_attempt_may_have_run)
+    if (const auto count = request.counted.RecordNotRun())
+      out.emplace_back(*count);
   if (m.result == attempt_result::kNotConnected)
     --request.attempts;
   const bool is_final_answer =
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -16,6 +16,7 @@
 #include "probe_statistics.h"
 #include "retry_allowance.h"
 #include "retry_budget.h"
+#include "run_count.h"
 #include "server_availability.h"
 #include "version_filter.h"
 
@@ -66,6 +67,9 @@
   struct request_state {
     std::string caller_request_id;
     request_fingerprint fingerprint;
+    // Absent if the request has no valid key.
+    std::optional<customer_id> customer;
+    run_count counted;
     // Keeps `route` alive through configuration changes.
     catalog::configuration_ptr config;
     const catalog::route* route = nullptr;
--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -442,6 +442,9 @@
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", timeout.count())},
        {"config", fmt::format("{}", request.config->version.value())}});
+  if (const auto count =
+          request.counted.RecordSend(request.customer, now.steady))
+    out.emplace_back(*count);
   out.emplace_back(send_attempt{id, to.server, timeout, request.attempts});
 }
 
--- a/packages/dispatch/tests/dispatch_simulation.h
+++ b/packages/dispatch/tests/dispatch_simulation.h
@@ -277,6 +277,7 @@
   void Handle(close_connections& e) { closed.push_back(e.address); }
   void Handle(crash_detected&) { ++crashes_reported; }
   void Handle(version_observed&) {}
+  void Handle(customer_counted&) {}
   void Handle(request_completed&) {}
   void Handle(decision&) {}
 
