Decode customers, their keys and public routes

A configuration may declare customers whose callers hold keys. The catalog keeps digests of the keys only.

--- a/packages/catalog/include/dotterellead/catalog.h
+++ b/packages/catalog/include/dotterellead/catalog.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dotterellead/access.h"
 #include "dotterellead/core.h"
 
 namespace dotterellead::catalog {
@@ -61,6 +62,8 @@
   int priority = 0;
   // Maximum number of servers that one request may be sent to.
   int max_attempts = 1;
+  // Whether requests need no customer's key.
+  bool is_public = false;
   std::vector<weighted_pool> pools;
 };
 
@@ -77,6 +80,13 @@
   double warmup_rate = 0;
 };
 
+// An organisation whose callers hold keys.
+struct customer {
+  customer_id id;
+  // Applies in place of the route's, if present.
+  std::optional<int> priority;
+};
+
 // Limits on the size and duration of a caller's request.
 struct caller_limits {
   byte_count header_size{16 << 10};
@@ -91,6 +101,12 @@
   std::vector<route> routes;
   std::map<pool_id, pool> pools;
   caller_limits limits;
+  // Whether requests need a customer's key unless their route is public. False
+  // if the operators declare no customers, not even an empty list.
+  bool has_customers = false;
+  std::vector<customer> customers;
+  // Owners are positions in `customers`.
+  access::key_table keys;
 };
 
 // ---- Backend servers and moves
