Prove the age of the operators' stream down the tree

A host must know how old its configuration can be, whatever froze or was slow in between. A response states the parent's proof relative to the arrival of the request, and the child adds it to its time of sending. The field is optional, so that hosts of the previous release understand the message.

--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -44,6 +44,9 @@
   log_offset end_offset;
   // When the sender last knew all records before `end_offset`.
   time_point complete_at;
+  // All records of the store at this time are known. Absent if the sender
+  // cannot prove it, as for updates of a child.
+  std::optional<boot_time> proven_at;
 };
 
 // Holds the newest update of each key, from which other hosts are served.
@@ -60,12 +63,17 @@
   time_point complete_at(stream source) const {
     return StateOf(source).complete_at;
   }
+  // The newest proof applied.
+  std::optional<boot_time> proven_at(stream source) const {
+    return StateOf(source).proven_at;
+  }
 
  private:
   struct stream_state {
     std::map<std::string, update> updates;
     log_offset end_offset;
     time_point complete_at{};
+    std::optional<boot_time> proven_at;
   };
   const stream_state& StateOf(stream source) const {
     return streams_[static_cast<std::size_t>(source)];
@@ -110,6 +118,9 @@
   // Time since the sender last knew the stream completely; absent if it never
   // did, or if the message does not cover this stream.
   std::optional<milliseconds> age;
+  // In a response: the time of the sender's proof of the stream relative to the
+  // arrival of the request; negative if it is earlier.
+  std::optional<milliseconds> proof;
 };
 
 // Sent by a host to its parent, which responds when it has changes or when
--- a/packages/fleet/src/children.cc
+++ b/packages/fleet/src/children.cc
@@ -37,10 +37,11 @@
       break;
     http::response<http::string_body> response(http::status::ok, 11);
     try {
+      const boot_time arrived_at = boot_clock::now();
       const sync_request request = DecodeRequest(parser.get().body());
       HandleSyncRequest(request);
       co_await WaitForChanges(request);
-      response.body() = EncodeResponse(MakeResponse(request));
+      response.body() = EncodeResponse(MakeResponse(request, arrived_at));
     } catch (const protocol_error& e) {
       LogEvent(log_level::kWarning, "peer-message-unreadable",
                {{"problem", e.problem()}, {"remedy", e.remedy()}});
@@ -61,7 +62,8 @@
   if (request.is_inquiry)
     return;
   children_[request.self.name] = {request.self, request.descendants, now};
-  HandleUpdates(request.updates);
+  // Updates of a child prove nothing: its clock is not this host's.
+  HandleUpdates(request.updates, std::nullopt);
   StartPushToParent();
   if (!request.counters.empty())
     callbacks_.on_counters(request.counters);
@@ -97,8 +99,8 @@
   }
 }
 
-sync_response fleet_duty::impl::MakeResponse(
-    const sync_request& request) const {
+sync_response fleet_duty::impl::MakeResponse(const sync_request& request,
+                                             boot_time arrived_at) const {
   sync_response response;
   response.self = settings_.self;
   if (request.hosts_version != hosts_version_)
@@ -107,9 +109,12 @@
   if (request.is_inquiry)
     return response;
   const time_point now = std::chrono::steady_clock::now();
-  for (std::size_t i = 0; i < kStreams; ++i)
+  for (std::size_t i = 0; i < kStreams; ++i) {
     response.updates[i] =
         UpdatesSince(kAllStreams[i], request.end_offsets[i], now);
+    response.updates[i].proof =
+        ProofDifference(updates_.proven_at(kAllStreams[i]), arrived_at);
+  }
   if (request.stages_version != stages_version_)
     response.stages = stages_;
   response.stages_version = stages_version_;
@@ -131,14 +136,15 @@
 }
 
 void fleet_duty::impl::HandleUpdates(
-    const std::array<stream_updates, kStreams>& updates) {
+    const std::array<stream_updates, kStreams>& updates,
+    std::optional<boot_time> requested_at) {
   const time_point now = std::chrono::steady_clock::now();
   for (std::size_t i = 0; i < kStreams; ++i) {
     const stream_updates& stream = updates[i];
     if (!stream.age)
       continue;
     update_batch batch{kAllStreams[i], stream.updates, stream.end_offset,
-                       now - *stream.age};
+                       now - *stream.age, ProvenAt(requested_at, stream.proof)};
     ApplyUpdates(batch);
     callbacks_.on_updates(std::move(batch));
   }
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -58,6 +58,14 @@
   return milliseconds(static_cast<std::int64_t>(count));
 }
 
+// A time relative to another one, of either sign.
+milliseconds Difference(const Value& v) {
+  constexpr std::int64_t kMaxMillis = 1'000'000'000'000;
+  if (!v.isInt64() || v.asInt64() > kMaxMillis || v.asInt64() < -kMaxMillis)
+    Fail("a difference of times in milliseconds within 1e12");
+  return milliseconds(v.asInt64());
+}
+
 log_offset ToOffset(const Value& v) {
   return v.isNull() ? log_offset() : log_offset(Count(v));
 }
@@ -204,6 +212,8 @@
       json["upto"] = FromOffset(stream.end_offset);
     if (stream.age)
       json["age"] = Number(static_cast<std::uint64_t>(stream.age->count()));
+    if (stream.proof)
+      json["proof"] = static_cast<Json::Int64>(stream.proof->count());
     rows.append(json);
   }
   return rows;
@@ -232,6 +242,8 @@
     stream.end_offset = ToOffset(MemberOrNull(json, "upto"));
     if (!MemberOrNull(json, "age").isNull())
       stream.age = Millis(MemberOrNull(json, "age"));
+    if (!MemberOrNull(json, "proof").isNull())
+      stream.proof = Difference(MemberOrNull(json, "proof"));
   }
   return streams;
 }
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -11,6 +11,7 @@
 #include "dotterellead/mailbox.h"
 #include "dotterellead/spawn.h"
 #include "host_directory.h"
+#include "proof.h"
 
 namespace dotterellead::fleet {
 
@@ -133,13 +134,17 @@
 
   task<> WaitForChanges(const sync_request& request);
 
-  sync_response MakeResponse(const sync_request& request) const;
+  sync_response MakeResponse(const sync_request& request,
+                             boot_time arrived_at) const;
 
   stream_updates UpdatesSince(stream source,
                               log_offset end_offset,
                               time_point now) const;
 
-  void HandleUpdates(const std::array<stream_updates, kStreams>& updates);
+  // `requested_at` is when this host sent the request to which they are the
+  // response; absent if they are no response.
+  void HandleUpdates(const std::array<stream_updates, kStreams>& updates,
+                     std::optional<boot_time> requested_at);
 
   // Children with a recent request, and their descendants.
   std::vector<host_info> LiveDescendants();
@@ -195,7 +200,8 @@
 
   task<> PushToParent();
 
-  void HandleSyncResponse(const sync_response& response);
+  void HandleSyncResponse(const sync_response& response,
+                          boot_time requested_at);
 
   static constexpr int kOk = 200;
   const std::string path_ = "/sync";
--- a/packages/fleet/src/parent.cc
+++ b/packages/fleet/src/parent.cc
@@ -213,6 +213,7 @@
   request.events_version = parent_events_version_;
   request.max_wait = max_wait;
   const std::string body = EncodeRequest(request);
+  const boot_time requested_at = boot_clock::now();
   const control_response response = co_await connection.Send(
       http::verb::post, path_, body, max_wait + Scaled(kSyncResponseMargin));
   if (response.status != kOk) {
@@ -223,7 +224,7 @@
     co_return false;
   }
   try {
-    HandleSyncResponse(DecodeResponse(response.body));
+    HandleSyncResponse(DecodeResponse(response.body), requested_at);
   } catch (const protocol_error& e) {
     LogEvent(log_level::kWarning, "peer-message-unreadable",
              {{"problem", e.problem()}, {"remedy", e.remedy()}});
@@ -232,14 +233,15 @@
   co_return true;
 }
 
-void fleet_duty::impl::HandleSyncResponse(const sync_response& response) {
+void fleet_duty::impl::HandleSyncResponse(const sync_response& response,
+                                          boot_time requested_at) {
   const time_point now = std::chrono::steady_clock::now();
   for (std::size_t i = 0; i < kStreams; ++i) {
     parent_end_offsets_[i] = response.updates[i].end_offset;
     parent_complete_at_[i] =
         response.updates[i].age ? now - *response.updates[i].age : time_point();
   }
-  HandleUpdates(response.updates);
+  HandleUpdates(response.updates, requested_at);
   if (response.hosts) {
     parent_hosts_version_ = response.hosts_version;
     SetLiveHosts(*response.hosts);
--- /dev/null
+++ b/packages/fleet/src/proof.h
@@ -0,0 +1,34 @@
+// How a host proves the age of its data to its children. Times of the two hosts
+// are never compared with each other, only differences on one clock.
+#ifndef DOTTERELLEAD_FLEET_PROOF_H_
+#define DOTTERELLEAD_FLEET_PROOF_H_
+
+#include <optional>
+
+#include "dotterellead/core.h"
+
+namespace dotterellead::fleet {
+
+// On the parent: its proof relative to the arrival of the child's request,
+// rounded to the earlier time.
+inline std::optional<milliseconds> ProofDifference(
+    std::optional<boot_time> proven_at,
+    boot_time arrived_at) {
+  if (!proven_at)
+    return std::nullopt;
+  return std::chrono::floor<milliseconds>(*proven_at - arrived_at);
+}
+
+// On the child: the request cannot have arrived before it was sent, so this is
+// at most the parent's proof, however long the messages took.
+inline std::optional<boot_time> ProvenAt(
+    std::optional<boot_time> requested_at,
+    std::optional<milliseconds> difference) {
+  if (!requested_at || !difference)
+    return std::nullopt;
+  return *requested_at + *difference;
+}
+
+}  // namespace dotterellead::fleet
+
+#endif  // DOTTERELLEAD_FLEET_PROOF_H_
--- a/packages/fleet/src/update_cache.cc
+++ b/packages/fleet/src/update_cache.cc
@@ -17,6 +17,8 @@
       (!state.end_offset.is_valid() || batch.end_offset > state.end_offset))
     state.end_offset = batch.end_offset;
   state.complete_at = std::max(state.complete_at, batch.complete_at);
+  // An absent time is the least one.
+  state.proven_at = std::max(state.proven_at, batch.proven_at);
   return applied;
 }
 
--- a/packages/fleet/tests/external_names_test.cc
+++ b/packages/fleet/tests/external_names_test.cc
@@ -14,7 +14,8 @@
   request.descendants = {request.self};
   request.updates[0] = {{{stream::kOperators, "k", "v", log_offset(4)}},
                         log_offset(6),
-                        milliseconds(12)};
+                        milliseconds(12),
+                        milliseconds(-3)};
   request.counters[{pool_id("p"), log_offset(9), true,
                     catalog::route_name("r")}] = {1, 0};
   request.crash_events = {
