Check customers' keys before each sending, and name the owner to servers

If the configuration has customers, a request is checked after its route is known and again before each sending: a key may be removed while the request waits or before its retry. A request whose earlier attempt may have run is rejected as such, since the reasons of a key state that it did not run. A sending that a frozen process delayed beyond the permitted time does not take place. The credential is removed, and the owner's name set exactly once. Without customers no header changes.

A customer's priority applies in place of the route's. Among queued requests of one priority, customers that were served much less often than all go first, then those within an equal share.

--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "dotterellead/access.h"
 #include "dotterellead/catalog.h"
 #include "dotterellead/core.h"
 
@@ -66,6 +67,7 @@
   // How long the caller waits for the response, if it says so.
   std::optional<milliseconds> caller_timeout;
   request_fingerprint fingerprint;
+  access::credential credential;
 };
 
 // Responses to one probe_servers effect. Servers that did not respond within
@@ -84,6 +86,9 @@
   kWrongServer,
   // The connect failed, so no byte of the request was sent.
   kNotConnected,
+  // The time until which the attempt was permitted had passed, so no byte of
+  // the request was sent.
+  kNotSent,
   // The connection was lost after the request was sent.
   kConnectionLost,
   // The response was malformed or lacked a valid signature.
@@ -111,6 +116,12 @@
   catalog::snapshot_ptr snapshot;
 };
 
+// The configuration `version` was the newest in the store at `proven_at`.
+struct config_confirmed {
+  boot_time proven_at;
+  catalog::config_version version;
+};
+
 // Sets the share of a pool's requests, per mille, that goes to the target
 // version of its move.
 struct move_share_changed {
@@ -162,6 +173,16 @@
   milliseconds timeout{0};
 };
 
+// What a server gets in the header that names the customer. kPassOn leaves it
+// and the credential as the caller sent them; the others remove both first.
+enum class customer_header_action { kPassOn, kRemove, kSet };
+
+struct customer_header {
+  customer_header_action action = customer_header_action::kPassOn;
+  // Valid for kSet.
+  customer_id customer;
+};
+
 // Sends the request to a server. Ends with one attempt_ended.
 struct send_attempt {
   request_id request;
@@ -169,6 +190,9 @@
   // Time within which the server must respond.
   milliseconds timeout{0};
   int attempt_number = 0;
+  customer_header customer;
+  // The attempt must not begin at this time or later.
+  std::optional<boot_time> not_after;
 };
 
 // Delivers the response of the last attempt to the caller unchanged.
@@ -178,6 +202,8 @@
 
 enum class reject_reason {
   kNoRoute,
+  // The request lacks a key of a customer.
+  kUnknownKey,
   // The request did not run: no configuration, no eligible server, no capacity
   // in time, requests like it crash servers, or this host stops.
   kNoConfiguration,
@@ -185,6 +211,9 @@
   kNoCapacity,
   kCrashesServers,
   kHostStopping,
+  // The request did not run: the configuration is too old to tell whether the
+  // key is valid.
+  kConfigurationOutdated,
   // The request may have run.
   kTimedOut,
   kServerFailed,
@@ -264,6 +293,7 @@
   // together; from the operators' limits.
   double max_probe_rate = 60;
   std::uint64_t seed = 1;
+  access::age_limits age_limits;
 };
 
 // Not thread-safe: one duty owns it and calls Step for each message.
@@ -275,6 +305,7 @@
                                server_notice,
                                caller_disconnected,
                                catalog_changed,
+                               config_confirmed,
                                move_share_changed,
                                live_hosts_changed,
                                crash_reported,
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -26,6 +26,8 @@
       return "wrong-server";
     case attempt_result::kNotConnected:
       return "not-connected";
+    case attempt_result::kNotSent:
+      return "not-sent";
     case attempt_result::kConnectionLost:
       return "broken";
     case attempt_result::kInvalidResponse:
@@ -37,7 +39,8 @@
 bool DidNotRun(attempt_result result) {
   return result == attempt_result::kNotRun ||
          result == attempt_result::kWrongServer ||
-         result == attempt_result::kNotConnected;
+         result == attempt_result::kNotConnected ||
+         result == attempt_result::kNotSent;
 }
 
 bool IsSuccess(const attempt_ended& m) {
@@ -57,7 +60,7 @@
   } else if (m.result == attempt_result::kNotConnected ||
              m.result == attempt_result::kWrongServer) {
     availability_.RecordUnreachable(request.run(), now.steady);
-  } else if (m.result != attempt_result::kNotRun) {
+  } else if (!DidNotRun(m.result)) {
     availability_.RecordFailure(request.run(), now.steady);
   }
   if (m.result == attempt_result::kConnectionLost)
@@ -102,8 +105,9 @@
   if (!DidNotRun(m.result) &&
       request.route->retry != catalog::retry_policy::kIdempotent)
     return false;
-  // A failed connect put no load on a server.
-  if (m.result == attempt_result::kNotConnected)
+  // Neither put load on a server.
+  if (m.result == attempt_result::kNotConnected ||
+      m.result == attempt_result::kNotSent)
     return true;
   return retry_budgets_.at(request.pool)
       .TryAcquire(now.steady, retry_allowance_.ShareAt(now.steady));
@@ -127,7 +131,8 @@
   request.phase = request_phase::kProbing;
   if (!DidNotRun(m.result))
     request.earlier_attempt_may_have_run = true;
-  if (m.result == attempt_result::kNotConnected)
+  if (m.result == attempt_result::kNotConnected ||
+      m.result == attempt_result::kNotSent)
     --request.attempts;
   const bool is_final_answer =
       m.result == attempt_result::kResponded &&
@@ -185,7 +190,10 @@
   reject_request rejection{id, reason, std::nullopt};
   if (reason == reject_reason::kHostStopping)
     rejection.retry_after = kRetryAtAnotherHost;
-  else if (GuaranteesNotRun(reason) && reason != reject_reason::kNoRoute)
+  else if (reason == reject_reason::kConfigurationOutdated)
+    rejection.retry_after = access_.retry_after();
+  else if (GuaranteesNotRun(reason) && reason != reject_reason::kNoRoute &&
+           reason != reject_reason::kUnknownKey)
     rejection.retry_after = RetryAfter(request, now);
   const auto time_held =
       std::chrono::duration_cast<milliseconds>(now.steady - request.arrived_at);
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -11,6 +11,10 @@
   switch (reason) {
     case reject_reason::kNoRoute:
       return "no-route";
+    case reject_reason::kUnknownKey:
+      return "unknown-key";
+    case reject_reason::kConfigurationOutdated:
+      return "configuration-outdated";
     case reject_reason::kNoConfiguration:
       return "no-configuration";
     case reject_reason::kNoServer:
@@ -58,7 +62,8 @@
       random_(static_cast<std::minstd_rand::result_type>(
           settings_.seed % 2'147'483'646 + 1)),
       retry_allowance_(settings_.retry_allowance, settings_.min_host_count),
-      cold_starts_(settings_.self) {}
+      cold_starts_(settings_.self),
+      access_(settings_.age_limits) {}
 
 void dispatcher::impl::Step(const message& m,
                             const timestamp& now,
@@ -104,6 +109,12 @@
   ProcessDeferredRequests(now, out);
 }
 
+void dispatcher::impl::On(const config_confirmed& m,
+                          const timestamp&,
+                          effects&) {
+  access_.Confirm(m, catalog_ ? catalog_->config : nullptr);
+}
+
 void dispatcher::impl::UpdateProbeRate(const timestamp& now) {
   // Fraction of the permitted probe rate that is used; the rest is reserved for
   // hosts that this one does not know yet.
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "cold_start_limiter.h"
+#include "customer_access.h"
+#include "customer_shares.h"
 #include "dotterellead/dispatch.h"
 #include "placement.h"
 #include "poison_request_detector.h"
@@ -66,6 +68,10 @@
   struct request_state {
     std::string caller_request_id;
     request_fingerprint fingerprint;
+    access::credential credential;
+    // Of the key's owner when the request was checked last.
+    customer_id customer;
+    int priority = 0;
     // Keeps `route` alive through configuration changes.
     catalog::configuration_ptr config;
     const catalog::route* route = nullptr;
@@ -110,6 +116,7 @@
   void On(const server_notice& m, const timestamp& now, effects& out);
   void On(const caller_disconnected& m, const timestamp& now, effects& out);
   void On(const catalog_changed& m, const timestamp& now, effects& out);
+  void On(const config_confirmed& m, const timestamp& now, effects& out);
   void On(const move_share_changed& m, const timestamp& now, effects& out);
   void On(const live_hosts_changed& m, const timestamp& now, effects& out);
   void On(const crash_reported& m, const timestamp& now, effects& out);
@@ -121,6 +128,12 @@
                     time_point arrived_at,
                     const timestamp& now,
                     effects& out);
+  // Checks the request's key against the configuration in force, and rejects it
+  // if it may not be sent.
+  std::optional<customer_access::decision> CheckAccess(request_id id,
+                                                       request_state& request,
+                                                       const timestamp& now,
+                                                       effects& out);
   // Routes the deferred requests once there is a configuration, and rejects
   // those that have waited too long.
   void ProcessDeferredRequests(const timestamp& now, effects& out);
@@ -330,6 +343,8 @@
       recent_caller_timeouts_;
   server_availability availability_;
   cold_start_limiter cold_starts_;
+  customer_access access_;
+  customer_shares shares_;
   // Set once this host is stopping.
   std::optional<time_point> shutdown_ends_at_;
 };
--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -416,6 +416,10 @@
            now, out);
     return;
   }
+  const std::optional<customer_access::decision> access =
+      CheckAccess(id, request, now, out);
+  if (!access)
+    return;
   request.phase = request_phase::kSent;
   request.server = to.server.id;
   request.server_started_at = to.server.started_at;
@@ -429,6 +433,8 @@
     attempts.pop_front();
   attempts.push_back(now.steady);
   ++request.attempts;
+  if (request.attempts == 1)
+    shares_.RecordSend(request.customer, now.steady);
   Log(out, "placed",
       {{"request", request.caller_request_id},
        {"route", request.route->name.value()},
@@ -442,7 +448,8 @@
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", timeout.count())},
        {"config", fmt::format("{}", request.config->version.value())}});
-  out.emplace_back(send_attempt{id, to.server, timeout, request.attempts});
+  out.emplace_back(send_attempt{id, to.server, timeout, request.attempts,
+                                access->header, access->valid_until});
 }
 
 milliseconds dispatcher::impl::RetryAfter(const request_state& request,
--- a/packages/dispatch/src/queueing.cc
+++ b/packages/dispatch/src/queueing.cc
@@ -122,6 +122,8 @@
   struct entry {
     bool is_late;
     int priority;
+    // Customers that got less than their share go first.
+    customer_shares::rank rank;
     time_point::duration age;
     request_id id;
     auto operator<=>(const entry&) const = default;
@@ -133,7 +135,8 @@
       continue;
     const request_state& request = it->second;
     // Requests that can still meet their target go first.
-    entries.push_back({WillMissTarget(request, now), request.route->priority,
+    entries.push_back({WillMissTarget(request, now), request.priority,
+                       shares_.RankOf(request.customer, now.steady),
                        now.steady - request.arrived_at, id});
   }
   std::sort(entries.begin(), entries.end());
--- a/packages/dispatch/src/routing.cc
+++ b/packages/dispatch/src/routing.cc
@@ -67,6 +67,9 @@
     Reject(m.request, request, reject_reason::kNoRoute, now, out);
     return;
   }
+  request.credential = m.credential;
+  if (!CheckAccess(m.request, request, now, out))
+    return;
   request.fingerprint = m.fingerprint;
   if (poison_requests_.IsQuarantined(m.fingerprint, now.steady)) {
     Reject(m.request, request, reject_reason::kCrashesServers, now, out);
@@ -89,10 +92,31 @@
   auto [budget, is_new] = retry_budgets_.try_emplace(
       request.pool, settings_.retry_ratio, settings_.retry_window);
   budget->second.RecordRequest(now.steady);
+  if (catalog_->config->has_customers)
+    shares_.RecordArrival(request.customer, now.steady);
   auto [it, inserted] = requests_.emplace(m.request, std::move(request));
   StartProbing(m.request, it->second, now, out);
 }
 
+std::optional<customer_access::decision> dispatcher::impl::CheckAccess(
+    request_id id,
+    request_state& request,
+    const timestamp& now,
+    effects& out) {
+  const customer_access::decision access = access_.Check(
+      *catalog_->config, *request.route, request.credential, now.boot);
+  request.customer = access.header.customer;
+  request.priority = access.priority;
+  if (!access.rejected)
+    return access;
+  // The reasons of a rejected key state that the request did not run.
+  Reject(
+      id, request,
+      request.may_have_run() ? reject_reason::kServerFailed : *access.rejected,
+      now, out);
+  return std::nullopt;
+}
+
 // A caller that retries after a failure states a shorter timeout than on its
 // first request. The difference to the usual timeout is the time it has already
 // waited.
--- a/packages/dispatch/tests/dispatch_simulation.h
+++ b/packages/dispatch/tests/dispatch_simulation.h
@@ -91,6 +91,7 @@
     m.path = "/" + route + "/1";
     m.caller_timeout = caller_timeout;
     m.fingerprint = request_fingerprint(fingerprint);
+    m.credential = next_credential;
     Step(m);
     return id;
   }
@@ -138,6 +139,7 @@
     constexpr milliseconds kStep{1};
     while (now_.steady < ends) {
       now_.steady += kStep;
+      now_.boot += kStep;
       RespondToProbes();
       FinishWork();
       const std::optional<time_point> due = dispatcher_.NextDeadline();
@@ -146,12 +148,20 @@
     }
   }
 
+  // Suspends the machine, which stops its steady clock.
+  void Suspend(milliseconds length) { now_.boot += length; }
+
   time_point now() const { return now_.steady; }
+  boot_time boot() const { return now_.boot; }
   std::size_t open_requests() const { return dispatcher_.open_requests(); }
 
   catalog::snapshot catalog;
   std::map<server_id, fake_server> servers;
   std::map<request_id, request_result> results;
+  // Of the requests that are sent from now on.
+  access::credential next_credential;
+  // What the attempts said of the customer's header.
+  std::map<request_id, customer_header> headers;
   // Addresses whose connections were closed.
   std::vector<catalog::endpoint> closed;
   // Service time on an idle server at normal speed. 0: attempts end only by
@@ -250,6 +260,7 @@
   void Handle(send_attempt& e) {
     results[e.request].sent_to.push_back(e.server.id);
     sent_at_[e.request] = now_.steady;
+    headers[e.request] = e.customer;
     fake_server& s = servers[e.server.id];
     ++s.running;
     max_running = std::max(max_running, s.running);
--- a/packages/traffic/include/dotterellead/traffic.h
+++ b/packages/traffic/include/dotterellead/traffic.h
@@ -39,6 +39,10 @@
   // In a response with status 503: seconds, with fractions, in which the server
   // accepts nothing from this host.
   std::string retry_after;
+  // The caller's credential, and the name of the customer that it belongs to,
+  // for servers.
+  std::string credential;
+  std::string customer;
 };
 
 struct traffic_settings {
--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -278,6 +278,7 @@
   if (timeout != request->end())
     arrived.caller_timeout =
         ParseMillis({timeout->value().data(), timeout->value().size()});
+  arrived.credential = ReadCredential(*request, settings_.headers);
   arrived.fingerprint = FingerprintOf(*stream, *request, target);
   open_requests_[id] = open;
   open_request_count_ = open_requests_.size();
--- a/packages/traffic/src/messages.cc
+++ b/packages/traffic/src/messages.cc
@@ -106,6 +106,31 @@
     headers.erase(name);
 }
 
+access::credential ReadCredential(const request_message& request,
+                                  const header_names& names) {
+  const auto lines = request.equal_range(names.credential);
+  if (lines.first == lines.second)
+    return {};
+  if (std::next(lines.first) != lines.second)
+    return {access::credential_kind::kMalformed, {}};
+  return access::ParseCredential(View(lines.first->value()));
+}
+
+namespace {
+
+void SetCustomer(request_message& request,
+                 const header_names& names,
+                 const dispatch::customer_header& customer) {
+  if (customer.action == dispatch::customer_header_action::kPassOn)
+    return;
+  request.erase(names.credential);
+  request.erase(names.customer);
+  if (customer.action == dispatch::customer_header_action::kSet)
+    request.set(names.customer, customer.customer.value());
+}
+
+}  // namespace
+
 request_message MakeServerRequest(const request_message& from_caller,
                                   const std::string& path,
                                   const header_names& names,
@@ -116,6 +141,7 @@
   request.target(path);
   request.set(names.timeout, fmt::format("{}", attempt.timeout.count()));
   request.set(names.expected_server, attempt.server.id.value());
+  SetCustomer(request, names, attempt.customer);
   const bool had_body = from_caller.count(http::field::content_length) > 0 ||
                         from_caller.count(http::field::transfer_encoding) > 0;
   request.erase(http::field::content_length);
@@ -157,6 +183,9 @@
   switch (reason) {
     case dispatch::reject_reason::kNoRoute:
       return http::status::not_found;
+    case dispatch::reject_reason::kUnknownKey:
+      return http::status::unauthorized;
+    case dispatch::reject_reason::kConfigurationOutdated:
     case dispatch::reject_reason::kNoConfiguration:
     case dispatch::reject_reason::kNoServer:
     case dispatch::reject_reason::kNoCapacity:
--- a/packages/traffic/src/messages.h
+++ b/packages/traffic/src/messages.h
@@ -36,6 +36,11 @@
 // Removes the headers that concern one connection only.
 void RemoveHopByHopHeaders(http::fields& headers);
 
+// Reads the credential of a caller's request. Several header lines are
+// malformed.
+access::credential ReadCredential(const request_message& request,
+                                  const header_names& names);
+
 // Converts a caller's request into the request for a server.
 request_message MakeServerRequest(const request_message& from_caller,
                                   const std::string& path,
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -136,6 +136,12 @@
 
 task<> traffic_service::impl::RunAttempt(open_request_ptr open,
                                          dispatch::send_attempt attempt) {
+  // This process may have been frozen since the decision.
+  if (attempt.not_after && boot_clock::now() >= *attempt.not_after) {
+    post_(dispatch::attempt_ended{attempt.request, attempt.server.id,
+                                  dispatch::attempt_result::kNotSent});
+    co_return;
+  }
   auto handle = std::make_shared<exchange_handle>();
   open->attempt = handle;
   const time_point started = std::chrono::steady_clock::now();
--- a/packages/traffic/tests/traffic_fixture.h
+++ b/packages/traffic/tests/traffic_fixture.h
@@ -29,6 +29,8 @@
   n.warmup_left = "Cold-Ms";
   n.leaving = "Leaving";
   n.retry_after = "Retry-After";
+  n.credential = "Credential";
+  n.customer = "Customer";
   return n;
 }
 
@@ -81,7 +83,9 @@
         m.request,
         {server_id("s-1"), {0x7f000001, kServerPort}, "/health", 4},
         milliseconds(1'000),
-        1});
+        1,
+        {},
+        not_after});
   }
   void On(dispatch::attempt_ended& m) {
     results.push_back(m.result);
@@ -112,6 +116,7 @@
   }
 
   std::optional<dispatch::reject_reason> reject;
+  std::optional<boot_time> not_after;
   std::vector<dispatch::attempt_result> results;
   std::vector<std::uint64_t> fingerprints;
   std::string last_path;
