Confirm the configuration's age, with strict revocation as a setting

With strict revocation, data of other hosts without a proof does not spare a read of the operators' topic.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -64,6 +64,8 @@
   d.retry_allowance = settings_.retry_allowance;
   d.min_host_count = settings_.seeds.size();
   d.max_probe_rate = settings_.max_probe_rate;
+  d.age_limits = {settings_.has_strict_revocation, settings_.revocation_limit,
+                  settings_.max_config_delay};
   d.seed = StableHash(settings_.host.value()) ^
            static_cast<std::uint64_t>(clock_.Now().wall.value);
   dispatcher_ = std::make_unique<duty<dispatch::dispatcher>>(
@@ -160,6 +162,10 @@
   callbacks.on_catalog = [this](const catalog::snapshot_ptr& snapshot) {
     HandleCatalog(snapshot);
   };
+  callbacks.on_config_confirmed = [this](boot_time proven_at,
+                                         catalog::config_version version) {
+    Post(*dispatcher_, dispatch::config_confirmed{proven_at, version});
+  };
   callbacks.on_updates = [this](fleet::update_batch batch) {
     fleet_->PublishUpdates(std::move(batch));
   };
@@ -167,6 +173,7 @@
   s.store_address = settings_.store_address;
   s.max_update_delay =
       std::min(settings_.max_config_delay, settings_.max_drain_delay);
+  s.needs_proof = settings_.has_strict_revocation;
   if (settings_.is_first_start)
     s.startup_delay = 2 * kFirstStartDiscoveryTimeout;
   store_ = std::make_unique<adapter::store_duty>(s, std::move(callbacks));
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -55,6 +55,10 @@
      kMaxSeconds,
      [](entry_settings& s, double v) { s.max_config_delay = FromSeconds(v); },
      "2 s"},
+    {"revoke-s", "seconds within which a revoked key must be rejected", 1,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.revocation_limit = FromSeconds(v); },
+     "strict revocation is off"},
     {"drain-s", "seconds within which a leaving server gets no more requests",
      0.5, kMaxSeconds,
      [](entry_settings& s, double v) { s.max_drain_delay = FromSeconds(v); },
@@ -86,12 +90,12 @@
   return value;
 }
 
-bool ParseFirstStart(const std::string& text) {
+bool ParseFlag(const std::string& text, const char* setting) {
   if (text.empty() || text == "false" || text == "0")
     return false;
   if (text == "true" || text == "1")
     return true;
-  throw invalid_setting_error("setting first-start is '" + text + "'",
+  throw invalid_setting_error(fmt::format("setting {} is '{}'", setting, text),
                               "give true or false, or leave it empty");
 }
 
@@ -112,6 +116,7 @@
   std::vector<std::string> seeds;
   std::string level = "info";
   std::string first_start;
+  std::string strict_revocation;
   entry_settings s;
   app.add_option("--host", host, "name of this host")
       ->envname("DOTTERELLEAD_HOST")
@@ -145,6 +150,8 @@
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
   app.add_option("--first-start", first_start,
                  "true if all hosts start together for the first time");
+  app.add_option("--strict-revocation", strict_revocation,
+                 "true if hosts that are cut off must reject revoked keys");
   app.add_flag("--check", s.check_only, "checks the settings and ends");
   try {
     app.parse(argc, argv);
@@ -178,7 +185,9 @@
            s.missing.end();
   };
   s.has_moves = !is_missing("expose-share") && !is_missing("expose-slack");
-  s.is_first_start = ParseFirstStart(first_start);
+  s.has_strict_revocation = ParseFlag(strict_revocation, "strict-revocation") &&
+                            !is_missing("revoke-s");
+  s.is_first_start = ParseFlag(first_start, "first-start");
   const std::map<std::string, log_level> levels{
       {"debug", log_level::kDebug},
       {"info", log_level::kInfo},
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -34,6 +34,10 @@
   // in force on every host.
   milliseconds max_config_delay{2'000};
   milliseconds max_drain_delay{2'000};
+  // Whether a revoked key must be rejected within `revocation_limit` even on a
+  // host that is cut off from the others. Off without a limit.
+  bool has_strict_revocation = false;
+  milliseconds revocation_limit{5'000};
   // Operators' limits on retries, probes and the exposure of new versions,
   // summed over all hosts.
   double retry_ratio = 0.2;
--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -36,6 +36,7 @@
            {"bounds.budgetSlack", "168"}},
           {{"bounds.probesPerS", "42"}},
           {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}},
+          {{"bounds.revokeS", "5"}, {"bounds.strictRevocation", "true"}},
           {{"bootstrap", "true"}}};
 }
 
@@ -104,12 +105,14 @@
         values.insert(terms[part].begin(), terms[part].end());
     const entry_settings s = ReadFilled(FillTemplate(values));
     CHECK(s.has_moves == values.contains("bounds.exposeShare"));
+    CHECK(s.has_strict_revocation == values.contains("bounds.revokeS"));
     CHECK(s.is_first_start == values.contains("bootstrap"));
     CHECK(s.retry_allowance ==
           (values.contains("bounds.budgetSlack") ? 168 : 50));
     CHECK(s.max_probe_rate == (values.contains("bounds.probesPerS") ? 42 : 60));
     CHECK(DescribeMissingSettings(s).empty() ==
           (values.contains("bounds.drainS") &&
+           values.contains("bounds.revokeS") &&
            values.contains("bounds.budgetSlack") &&
            values.contains("bounds.probesPerS") &&
            values.contains("bounds.exposeShare")));
@@ -122,9 +125,9 @@
     all.insert(limits.begin(), limits.end());
   const std::string filled = FillTemplate(all);
   CHECK(ReadFilled(filled).missing.empty());
-  for (const char* name :
-       {"expose-share", "expose-slack", "stop-s", "config-s", "drain-s",
-        "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s"}) {
+  for (const char* name : {"expose-share", "expose-slack", "stop-s", "config-s",
+                           "drain-s", "repeat-ratio", "repeat-window-s",
+                           "repeat-slack", "probes-per-s", "revoke-s"}) {
     CAPTURE(name);
     const std::string absent = WithoutLine(filled, name);
     REQUIRE(absent != filled);
