--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -55,6 +55,10 @@
      kMaxSeconds,
      [](entry_settings& s, double v) { s.max_config_delay = FromSeconds(v); },
      "2 s"},
+    {"revoke-s", "seconds within which a revoked key must be rejected", 1,
+     kMaxSeconds,
+     [](entry_settings& s, double v) { s.revocation_limit = FromSeconds(v); },
+     "strict revocation is off"},
     {"drain-s", "seconds within which a leaving server gets no more requests",
      0.5, kMaxSeconds,
      [](entry_settings& s, double v) { s.max_drain_delay = FromSeconds(v); },
@@ -98,7 +102,7 @@
   return value;
 }
 
-bool ParseBool(const std::string& text, const char* setting) {
+bool ParseFlag(const std::string& text, const char* setting) {
   if (text.empty() || text == "false" || text == "0")
     return false;
   if (text == "true" || text == "1")
@@ -126,6 +130,7 @@
   std::string level = "info";
   std::string first_start;
   std::string require_fencing;
+  std::string strict_revocation;
   entry_settings s;
   app.add_option("--host", host, "name of this host")
       ->envname("DOTTERELLEAD_HOST")
@@ -164,6 +169,8 @@
                  "without it: usage reports are off");
   app.add_option("--require-fencing", require_fencing,
                  "true if the operations service checks fencing tokens");
+  app.add_option("--strict-revocation", strict_revocation,
+                 "true if hosts that are cut off must reject revoked keys");
   app.add_flag("--check", s.check_only, "checks the settings and ends");
   try {
     app.parse(argc, argv);
@@ -199,8 +206,10 @@
            s.missing.end();
   };
   s.has_moves = !is_missing("expose-share") && !is_missing("expose-slack");
-  s.is_first_start = ParseBool(first_start, "first-start");
-  s.require_fencing = ParseBool(require_fencing, "require-fencing");
+  s.has_strict_revocation = ParseFlag(strict_revocation, "strict-revocation") &&
+                            !is_missing("revoke-s");
+  s.is_first_start = ParseFlag(first_start, "first-start");
+  s.require_fencing = ParseFlag(require_fencing, "require-fencing");
   const std::map<std::string, log_level> levels{
       {"debug", log_level::kDebug},
       {"info", log_level::kInfo},
--- a/packages/dispatch/src/run_count.cc
+++ b/packages/dispatch/src/run_count.cc
@@ -3,11 +3,11 @@
 namespace dotterellead::dispatch {
 
 std::optional<customer_counted> run_count::RecordSend(
-    const std::optional<customer_id>& customer,
+    const customer_id& customer,
     time_point now) {
-  if (!customer || count_)
+  if (!customer.is_valid() || count_)
     return std::nullopt;
-  count_ = customer_counted{*customer, 1, now};
+  count_ = customer_counted{customer, 1, now};
   return count_;
 }
 
--- a/packages/dispatch/src/run_count.h
+++ b/packages/dispatch/src/run_count.h
@@ -13,10 +13,10 @@
 // other attempt may have run.
 class run_count {
  public:
-  // An attempt is sent. Returns the count, if it is new.
-  std::optional<customer_counted> RecordSend(
-      const std::optional<customer_id>& customer,
-      time_point now);
+  // An attempt is sent. Returns the count, if it is new and
+  // the request has a customer.
+  std::optional<customer_counted> RecordSend(const customer_id& customer,
+                                             time_point now);
   // The only attempt that may have run did not run. Returns the count to be
   // reverted, if there is one.
   std::optional<customer_counted> RecordNotRun();
--- a/packages/dispatch/tests/run_count_test.cc
+++ b/packages/dispatch/tests/run_count_test.cc
@@ -16,7 +16,7 @@
 // Guards against a request that is charged for once for each attempt.
 TEST_CASE("a request is counted once, when it is first sent") {
   run_count count;
-  const std::optional<customer_id> customer(customer_id("c"));
+  const customer_id customer("c");
   const auto first = count.RecordSend(customer, At(10));
   REQUIRE(first);
   CHECK(first->change == 1);
@@ -28,7 +28,7 @@
 // against a revert in another window than the count's.
 TEST_CASE("a request that did not run is reverted, and counted when it runs") {
   run_count count;
-  const std::optional<customer_id> customer(customer_id("c"));
+  const customer_id customer("c");
   count.RecordSend(customer, At(10));
   const auto reverted = count.RecordNotRun();
   REQUIRE(reverted);
@@ -42,6 +42,6 @@
 
 TEST_CASE("a request without a customer is not counted") {
   run_count count;
-  CHECK_FALSE(count.RecordSend(std::nullopt, At(10)));
+  CHECK_FALSE(count.RecordSend(customer_id(), At(10)));
   CHECK_FALSE(count.RecordNotRun());
 }
