--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -97,7 +97,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT(*-naming)
   static time_point now() noexcept;
 };
 using boot_time = boot_clock::time_point;
--- a/packages/dispatch/tests/customer_access_test.cc
+++ b/packages/dispatch/tests/customer_access_test.cc
@@ -114,6 +114,7 @@
 TEST_CASE("a queued request whose key is removed is not sent") {
   keyed_simulation s;
   std::vector<request_id> running;
+  running.reserve(4);
   for (int i = 0; i < 4; ++i)
     running.push_back(s.Send(Credential("k")));
   s.Run(milliseconds(50));
@@ -176,6 +177,23 @@
   CHECK(s.results[again].is_delivered);
 }
 
+// Guards against a server that is blamed, or a retry that is spent, for an
+// attempt that this host did not begin in time.
+TEST_CASE("an attempt that was not sent is checked and placed again") {
+  keyed_simulation s;
+  const request_id placed_again = s.Send(Credential("k"));
+  s.Run(milliseconds(20));
+  s.EndAttempt(placed_again, attempt_result::kNotSent, 0);
+  s.Run(milliseconds(20));
+  CHECK(s.results[placed_again].sent_to.size() == 2);
+  s.Suspend(kLimit);
+  s.EndAttempt(placed_again, attempt_result::kNotSent, 0);
+  s.Run(milliseconds(500));
+  CHECK(s.results[placed_again].sent_to.size() == 2);
+  REQUIRE(s.results[placed_again].rejected.has_value());
+  CHECK(GuaranteesNotRun(*s.results[placed_again].rejected));
+}
+
 TEST_CASE(
     "a suspended machine and a lost catalog do not make the age younger") {
   keyed_simulation s;
@@ -194,6 +212,7 @@
   SetCustomers(s, {{"acme", {"k"}, {}}, {"urgent", {"u"}, 0}});
   Confirm(s);
   std::vector<request_id> running;
+  running.reserve(4);
   for (int i = 0; i < 4; ++i)
     running.push_back(s.Send(Credential("k")));
   s.Run(milliseconds(50));
@@ -212,6 +231,7 @@
 TEST_CASE("a greedy customer does not take the share of the others") {
   keyed_simulation s;
   std::vector<customer_row> rows;
+  rows.reserve(10);
   for (int i = 0; i < 10; ++i)
     rows.push_back({"c" + std::to_string(i), {"key" + std::to_string(i)}, {}});
   SetCustomers(s, rows);
