Let a move go on when its order is written again

Cause: after the store came back from an older copy a lost order is written again under another revision, or another order gets the revision of a lost one. The first restarted the trial, the second applied the former verdict.

Change: an order with the move's target and duration whose status names the start of the move takes the new revision and keeps stage and evidence. Target and revision together identify an order.

Result: the new case of moves_test had not been run at this commit.

--- a/packages/moves/src/move_machine.cc
+++ b/packages/moves/src/move_machine.cc
@@ -55,6 +55,19 @@
 // since pools are seldom full.
 constexpr double kProportionalShareMargin = 1.3;
 
+// Whether the order is that of the move, written again after the store had lost
+// it: its status then names the new revision and the start of the move. The
+// move goes on with its evidence.
+template <class Move>
+bool IsWrittenAgain(const Move& move,
+                    const catalog::move_order& order,
+                    const catalog::move_status& status) {
+  return move.order.revision != order.revision &&
+         move.order.target == order.target &&
+         move.order.duration == order.duration &&
+         status.started_at == move.started_wall;
+}
+
 std::string FormatCounters(const attempt_counters& counters) {
   return fmt::format("{}/{}", counters.faulty, counters.attempts);
 }
@@ -116,8 +129,20 @@
   catalog_ = m.snapshot;
   for (const auto& [pool, order] : catalog_->moves) {
     auto move = moves_.find(pool);
-    const bool is_new =
-        move == moves_.end() || move->second.order.revision != order.revision;
+    auto status = catalog_->move_statuses.find(pool);
+    const bool has_status = status != catalog_->move_statuses.end() &&
+                            status->second.revision == order.revision &&
+                            status->second.target == order.target;
+    if (move != moves_.end() && has_status &&
+        IsWrittenAgain(move->second, order, status->second)) {
+      move->second.order = order;
+      move->second.current.order = order.revision;
+      is_changed_ = true;
+    }
+    // A store that came back from an older copy reuses revisions.
+    const bool is_new = move == moves_.end() ||
+                        move->second.order.revision != order.revision ||
+                        move->second.order.target != order.target;
     if (is_new) {
       move_record record;
       record.order = order;
@@ -130,9 +155,7 @@
       move = moves_.insert_or_assign(pool, std::move(record)).first;
       is_changed_ = true;
     }
-    auto status = catalog_->move_statuses.find(pool);
-    if (status == catalog_->move_statuses.end() ||
-        status->second.revision != order.revision)
+    if (!has_status)
       continue;
     // After a restart, the age of the order follows from its status.
     const milliseconds age(now.wall.value - status->second.started_at.value);
@@ -196,7 +219,8 @@
     return;
   for (const stage& received : m.stages) {
     auto it = moves_.find(received.pool);
-    if (it == moves_.end() || it->second.order.revision != received.order)
+    if (it == moves_.end() || it->second.order.revision != received.order ||
+        it->second.order.target != received.target)
       continue;
     move_record& move = it->second;
     move.started_at = std::min(move.started_at, now.steady - received.age);
@@ -315,6 +339,7 @@
   auto status = catalog_->move_statuses.find(move.order.pool);
   const bool is_written = status != catalog_->move_statuses.end() &&
                           status->second.revision == move.order.revision &&
+                          status->second.target == move.order.target &&
                           (status->second.state == state ||
                            status->second.state != move_state::kRunning);
   if (is_written || now.steady < move.next_write_at)
--- a/packages/moves/tests/moves_test.cc
+++ b/packages/moves/tests/moves_test.cc
@@ -191,3 +191,42 @@
   // Three standard deviations, one-sided.
   CHECK(judged_worse < kTrials / 100);
 }
+
+// A store that came back from an older copy: an order that was lost is written
+// again under another revision, or another order gets its revision.
+TEST_CASE("a move goes on when its order is written again") {
+  move_machine machine{move_settings{}};
+  const timestamp now{time_point(std::chrono::hours(1)), {1'000'000}};
+  std::vector<stage> stages;
+  const auto step = [&](const move_machine::message& m) {
+    std::vector<move_machine::effect> out;
+    machine.Step(m, now, out);
+    for (move_machine::effect& e : out)
+      if (auto* changed = std::get_if<stages_changed>(&e))
+        stages = changed->stages;
+  };
+  const auto show = [&](const version_id& target, std::uint64_t revision) {
+    auto catalog = std::make_shared<catalog::snapshot>();
+    catalog->has_all_outcomes = true;
+    catalog->moves[test_pool] = {test_pool, target, milliseconds(16'000),
+                                 log_offset(revision)};
+    catalog->move_statuses[test_pool] = {new_version,
+                                         catalog::move_state::kRunning,
+                                         log_offset(revision), now.wall};
+    step(catalog_changed{catalog});
+  };
+  step(role_changed{true});
+  show(new_version, 7);
+  step(tick{});
+  REQUIRE(stages.size() == 1);
+  const std::uint32_t share = stages[0].per_mille;
+  REQUIRE(share > 0);
+  show(new_version, 3);
+  REQUIRE(stages.size() == 1);
+  CHECK(stages[0].order == log_offset(3));
+  CHECK(stages[0].per_mille == share);
+  show(old_version, 3);
+  REQUIRE(stages.size() == 1);
+  CHECK(stages[0].target == old_version);
+  CHECK(stages[0].per_mille == 0);
+}
