Extend completeness only by senders that know the end offset

Cause: a host that had read a restored store itself took the completeness time of a parent that had not seen the new era, and would have read the store too late.

Change: a batch whose end offset is lower than the cached one leaves the completeness time.

--- a/packages/fleet/src/update_cache.cc
+++ b/packages/fleet/src/update_cache.cc
@@ -16,7 +16,13 @@
   if (batch.end_offset.is_valid() &&
       (!state.end_offset.is_valid() || batch.end_offset > state.end_offset))
     state.end_offset = batch.end_offset;
-  state.complete_at = std::max(state.complete_at, batch.complete_at);
+  // A sender that lacks records before the known end, such as one that has not
+  // seen a change of era, proves nothing about the data up to that end.
+  const bool is_behind = state.end_offset.is_valid() &&
+                         batch.end_offset.is_valid() &&
+                         batch.end_offset < state.end_offset;
+  if (!is_behind)
+    state.complete_at = std::max(state.complete_at, batch.complete_at);
   return applied;
 }
 
--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -162,6 +162,41 @@
   CHECK(cache.UpdatesSince(stream::kOperators, log_offset()).empty());
 }
 
+// A store that came back from an older copy: its positions are all higher than
+// those of the former log. Failure: a parent that had not seen this yet made
+// the data of a host look complete, so that the host read the store too late.
+TEST_CASE("updates of a new era prevail over a sender of the former one") {
+  constexpr std::uint64_t kNewEra = std::uint64_t{1} << 40;
+  const time_point now{std::chrono::hours(1)};
+  update_cache cache;
+  cache.Apply({stream::kServers,
+               {Item("a", "1", 5), Item("b", "1", 8)},
+               log_offset(9),
+               now});
+  // From the store; "b" is not in the copy.
+  cache.Apply({stream::kServers,
+               {Item("a", "2", kNewEra + 4)},
+               log_offset(kNewEra + 5),
+               now + milliseconds(10)});
+  CHECK(cache
+            .Apply({stream::kServers,
+                    {Item("a", "0", 20)},
+                    log_offset(21),
+                    now + milliseconds(900)})
+            .empty());
+  CHECK(cache.end_offset(stream::kServers) == log_offset(kNewEra + 5));
+  CHECK(cache.complete_at(stream::kServers) == now + milliseconds(10));
+  // A child of the former era gets what is new to it; "b" holds.
+  const auto changed = cache.UpdatesSince(stream::kServers, log_offset(9));
+  REQUIRE(changed.size() == 1);
+  CHECK(changed[0].value == "2");
+  CHECK(cache.UpdatesSince(stream::kServers, log_offset()).size() == 2);
+  // Another parent in the new era extends the data's completeness.
+  cache.Apply(
+      {stream::kServers, {}, log_offset(kNewEra + 5), now + milliseconds(950)});
+  CHECK(cache.complete_at(stream::kServers) == now + milliseconds(950));
+}
+
 TEST_CASE("parent candidates precede the host, its own data centre first") {
   const std::vector<host_info> all = {Host("c", "z1", 1), Host("a", "z2", 2),
                                       Host("b", "z2", 3), Host("d", "z2", 4),
