--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -21,11 +21,11 @@
 task<> soak_world::OneFault() {
   using fault = task<> (soak_world::*)();
   static constexpr fault kFaults[] = {
-      &soak_world::FaultHost,   &soak_world::StopHosts,
-      &soak_world::ReloadHost,  &soak_world::KillHosts,
-      &soak_world::FaultStore,  &soak_world::FaultServer,
-      &soak_world::FaultServer, &soak_world::FaultLink,
-      &soak_world::ChangeConfig};
+      &soak_world::FaultHost,    &soak_world::StopHosts,
+      &soak_world::ReloadHost,   &soak_world::KillHosts,
+      &soak_world::FaultStore,   &soak_world::FaultServer,
+      &soak_world::FaultServer,  &soak_world::FaultLink,
+      &soak_world::ChangeConfig, &soak_world::RestoreStore};
   static constexpr fault kPlannedWork[] = {
       &soak_world::StopHosts, &soak_world::StopHosts, &soak_world::ReloadHost,
       &soak_world::ChangeConfig};
@@ -93,6 +93,23 @@
   store_calm_at_ = std::chrono::steady_clock::now() + kContactWindow;
 }
 
+// The store is away for a moment and comes back from a copy. Servers write
+// their entries again with their next report, operators a little later.
+task<> soak_world::RestoreStore() {
+  const unplanned_fault unplanned(*this);
+  constexpr milliseconds kAges[] = {milliseconds(1'000), milliseconds(5'000),
+                                    milliseconds(20'000)};
+  store_calm_at_ = time_point::max();
+  store_->SetFault(store_fault::kBusy);
+  co_await Sleep(io_, milliseconds(100 + Draw(600)));
+  store_->RestoreCopy(kAges[Draw(std::size(kAges))]);
+  store_->SetFault(store_fault::kNone);
+  co_await Sleep(io_, milliseconds(200 + Draw(1'300)));
+  if (!store_->HasValue("keyed.op", "config", config_))
+    store_->Put("keyed.op", "config", config_);
+  store_calm_at_ = std::chrono::steady_clock::now() + kContactWindow;
+}
+
 task<> soak_world::FaultServer() {
   const unplanned_fault unplanned(*this);
   server_standin& server =
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -166,20 +166,19 @@
 void soak_world::PutConfig(bool to_second_pool) {
   const char* pool = to_second_pool ? "second" : "first";
   ++version_;
-  store_->Put(
-      "keyed.op", "config",
-      fmt::format(
-          R"({{"version":"{:08x}","routes":{{"columns":["name","host",)"
-          R"("pathPrefix","type","timeoutS","targetLatencyS","priority",)"
-          R"("maxAttempts","service"],"rows":[)"
-          R"(["read","h.example","/read/","idempotent",1.2,0.4,1,2,"first"],)"
-          R"(["pay","h.example","/pay/","non_idempotent",1.2,0.4,0,2,"{}"])"
-          R"(]}},"services":{{"columns":["name","healthPath",)"
-          R"("maxConnections","warmupS","warmupPerS"],"rows":[)"
-          R"(["first","/health",200,1,5],["second","/health",200,1,5]]}},)"
-          R"("limits":{{"maxHeaderBytes":8192,"maxBodyBytes":100000,)"
-          R"("headerTimeoutS":2,"idleTimeoutS":10}}}})",
-          version_, pool));
+  config_ = fmt::format(
+      R"({{"version":"{:08x}","routes":{{"columns":["name","host",)"
+      R"("pathPrefix","type","timeoutS","targetLatencyS","priority",)"
+      R"("maxAttempts","service"],"rows":[)"
+      R"(["read","h.example","/read/","idempotent",1.2,0.4,1,2,"first"],)"
+      R"(["pay","h.example","/pay/","non_idempotent",1.2,0.4,0,2,"{}"])"
+      R"(]}},"services":{{"columns":["name","healthPath",)"
+      R"("maxConnections","warmupS","warmupPerS"],"rows":[)"
+      R"(["first","/health",200,1,5],["second","/health",200,1,5]]}},)"
+      R"("limits":{{"maxHeaderBytes":8192,"maxBodyBytes":100000,)"
+      R"("headerTimeoutS":2,"idleTimeoutS":10}}}})",
+      version_, pool);
+  store_->Put("keyed.op", "config", config_);
   is_second_pool_ = to_second_pool;
   config_at_ = std::chrono::steady_clock::now();
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -150,6 +150,7 @@
   task<> StopHosts();
   task<> ReloadHost();
   task<> FaultStore();
+  task<> RestoreStore();
   task<> FaultServer();
   task<> ShedLoad();
   task<> LeaveAndReturn(server_standin& server);
@@ -183,6 +184,8 @@
   std::vector<std::string> not_run_ids_;
   std::vector<std::string> once_ids_;
   int version_ = 0;
+  // The newest configuration, as it was written.
+  std::string config_;
   bool is_second_pool_ = false;
   time_point config_at_{};
   time_point store_calm_at_{};
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -63,21 +63,50 @@
                         const std::string& key,
                         const std::string& value) {
   topic_log& log = topics_[topic];
-  if (value.empty())
-    log.newest.erase(key);
-  else
-    log.newest[key] = {log.end(), value};
-  log.records.push_back({key, value});
+  const record added{key, value, std::chrono::steady_clock::now()};
+  SetNewest(log.newest, log.end(), added);
+  log.records.push_back(added);
   appended_.cancel();
 }
 
+void store_standin::SetNewest(newest_records& newest,
+                              std::uint64_t offset,
+                              const record& record) {
+  if (record.value.empty())
+    newest.erase(record.key);
+  else
+    newest[record.key] = {offset, record.value};
+}
+
 void store_standin::Compact() {
   for (auto& [name, log] : topics_) {
     log.first = log.end();
     log.records.clear();
+    log.newest_before = log.newest;
   }
 }
 
+void store_standin::RestoreCopy(milliseconds age) {
+  const time_point copied_at = std::chrono::steady_clock::now() - age;
+  for (auto& [name, log] : topics_) {
+    std::erase_if(log.records,
+                  [&](const record& r) { return r.appended_at > copied_at; });
+    log.newest = log.newest_before;
+    for (std::size_t i = 0; i < log.records.size(); ++i)
+      SetNewest(log.newest, log.first + i, log.records[i]);
+  }
+  ++era_;
+  appended_.cancel();
+}
+
+bool store_standin::HasValue(const std::string& topic,
+                             const std::string& key,
+                             const std::string& value) {
+  const newest_records& newest = topics_[topic].newest;
+  const auto it = newest.find(key);
+  return it != newest.end() && it->second.second == value;
+}
+
 task<> store_standin::Serve(stream_ptr stream) {
   beast::flat_buffer buffer;
   error_code ec;
@@ -95,6 +124,8 @@
     }
     if (fault_ == store_fault::kReset)
       break;
+    if (era_ > 0)
+      answer.set("Store-Era", std::to_string(era_));
     answer.prepare_payload();
     co_await http::async_write(*stream, answer, Resume(ec));
     if (ec)
@@ -132,11 +163,11 @@
       appended_.cancel();
   });
   error_code ec;
-  while (topics_[topic].end() <= from &&
+  while (topics_[topic].end() == from &&
          std::chrono::steady_clock::now() < ends)
     co_await appended_.async_wait(Resume(ec));
   const topic_log& log = topics_[topic];
-  if (from < log.first)
+  if (from < log.first || from > log.end())
     co_return Status(http::status::gone,
                      fmt::format("{{\"first\":{}}}", log.first));
   std::string body = BigEndian(log.end(), 8) + BigEndian(log.first, 8);
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -22,6 +22,14 @@
   void SetFault(store_fault fault) { fault_ = fault; }
   // Drops the history; the newest records of all keys stay.
   void Compact();
+  // Comes back from a copy of this age: later records are lost, their offsets
+  // are used again, and the era increases. The history from before the last
+  // Compact is kept.
+  void RestoreCopy(milliseconds age);
+  // Whether the key's newest record has this value.
+  bool HasValue(const std::string& topic,
+                const std::string& key,
+                const std::string& value);
   store_fault fault() const { return fault_; }
   std::uint64_t calls() const { return calls_; }
 
@@ -29,15 +37,23 @@
   struct record {
     std::string key;
     std::string value;
+    time_point appended_at;
   };
+  // Offset of each key's newest record, and its value.
+  using newest_records =
+      std::map<std::string, std::pair<std::uint64_t, std::string>>;
   struct topic_log {
     std::uint64_t first = 0;
     std::vector<record> records;
-    // Offset of each key's newest record, and its value.
-    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    newest_records newest;
+    // Those before `first`.
+    newest_records newest_before;
     std::uint64_t end() const { return first + records.size(); }
   };
 
+  static void SetNewest(newest_records& newest,
+                        std::uint64_t offset,
+                        const record& record);
   task<> Serve(stream_ptr stream);
   task<answer_message> Answer(const request_message& request);
   task<answer_message> Read(std::map<std::string, std::string>& query);
@@ -51,6 +67,7 @@
   std::map<std::string, topic_log> topics_;
   store_fault fault_ = store_fault::kNone;
   std::uint64_t calls_ = 0;
+  int era_ = 0;
 };
 
 }  // namespace dotterellead::soak
