--- a/packages/fleet/src/update_cache.cc
+++ b/packages/fleet/src/update_cache.cc
@@ -21,8 +21,11 @@
   const bool is_behind = state.end_offset.is_valid() &&
                          batch.end_offset.is_valid() &&
                          batch.end_offset < state.end_offset;
-  if (!is_behind)
+  if (!is_behind) {
     state.complete_at = std::max(state.complete_at, batch.complete_at);
+    // An absent time is the least one.
+    state.proven_at = std::max(state.proven_at, batch.proven_at);
+  }
   return applied;
 }
 
