--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -175,6 +175,10 @@
   answer.set("Attempt-Id", id);
   answer.set("Response-Signature", "proof-" + id);
   answer.body() = "answer to " + id;
+  // Callers may ask for a larger answer.
+  const std::string size = Text(request, "Soak-Answer-Bytes");
+  if (!size.empty())
+    answer.body().resize(std::stoul(size), '.');
   co_return answer;
 }
 
