Bound what callers can make an entry host hold

Cause: each connection of a caller was bounded, the host was not. Bodies doubled while they grew, stalled ones stayed until the idle timeout, and each attempt copied them. Callers' connections and the probes of their requests could use up the descriptors.

Change: host_budget (in place of response_memory) covers connections, bodies and responses, checked before memory is taken. Bodies are kept in blocks that are reserved one by one and shared with the attempts; the fingerprint is the same function of the same bytes. The header decides: 413 beyond the limit, 503 with Retry-After without room, and only then 100 Continue. When memory is short, stalled holders give way before others and large ones before small ones. A body has a minimum rate (408) and a bound on what frames its chunks. Callers' connections are bounded, idle ones are closed first; connections to servers wait for one another. Settings memory-mb and max-fds; four metrics.

--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -7,6 +7,8 @@
 #include <random>
 #include <set>
 
+#include "dotterellead/descriptors.h"
+
 namespace dotterellead::entry {
 
 namespace {
@@ -79,6 +81,12 @@
   t.metrics_address = settings_.metrics_address;
   t.metrics_text = [this] { return MetricsText(); };
   t.headers = adapter::HeaderNames();
+  t.memory = {(settings_.memory_mb << 20) * limits::kBudgetPercent / 100};
+  t.max_buffered_responses = {
+      std::min(limits::kMaxBufferedResponseBytes, t.memory.value / 2)};
+  const std::uint64_t descriptors = AllDescriptors(settings_.max_descriptors);
+  t.max_caller_connections = CallerShareOfDescriptors(descriptors);
+  t.max_server_connections = ServerShareOfDescriptors(descriptors);
   traffic_ = std::make_unique<traffic::traffic_service>(
       std::move(t), [this](dispatch::dispatcher::message m) {
         return dispatcher_->Post(std::move(m));
@@ -93,6 +101,10 @@
   statistics_.SetGauge("unexpected_errors_total", UnexpectedErrorCount());
   statistics_.SetGauge("buffered_response_bytes",
                        counts.buffered_response_bytes);
+  statistics_.SetGauge("held_bytes", counts.held_bytes);
+  statistics_.SetGauge("rejected_for_memory_total", counts.rejected_for_memory);
+  statistics_.SetGauge("evicted_requests_total", counts.evicted_requests);
+  statistics_.SetGauge("closed_callers_total", counts.closed_callers);
   statistics_.SetGauge("open_callers", counts.open_caller_connections);
   statistics_.SetGauge("open_calls", counts.open_requests);
   statistics_.SetGauge("store_calls_total", store_->request_count());
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -70,6 +70,17 @@
     {"probes-per-s",
      "health checks that one server bears from all hosts a second", 0.1, 1e6,
      [](entry_settings& s, double v) { s.max_probe_rate = v; }, "60"},
+    {"memory-mb", "memory of the machine in MB", limits::kMinMemoryMb, 1e6,
+     [](entry_settings& s, double v) {
+       s.memory_mb = static_cast<std::uint64_t>(v);
+     },
+     "160"},
+    {"max-fds", "descriptors that the process may open",
+     limits::kMinDescriptors, 1e8,
+     [](entry_settings& s, double v) {
+       s.max_descriptors = static_cast<std::uint64_t>(v);
+     },
+     "the process's limit of open files"},
 };
 
 double ParseLimit(const std::string& text, const limit_setting& limit) {
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -11,6 +11,7 @@
 #include "dotterellead/catalog.h"
 #include "dotterellead/core.h"
 #include "dotterellead/dispatch.h"
+#include "dotterellead/limits.h"
 
 namespace dotterellead::entry {
 
@@ -42,6 +43,10 @@
   double max_probe_rate = 60;
   double max_exposure_ratio = 0.1;
   double exposure_allowance = 50;
+  // Memory of the machine, and descriptors that the process may open; 0 for the
+  // process's limit.
+  std::uint64_t memory_mb = limits::kDefaultMemoryMb;
+  std::uint64_t max_descriptors = 0;
   // Whether operators may order moves to new versions. Off without a limit on
   // the exposure of new versions.
   bool has_moves = true;
--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -36,6 +36,7 @@
            {"bounds.budgetSlack", "168"}},
           {{"bounds.probesPerS", "42"}},
           {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}},
+          {{"limits.memoryMb", "512"}, {"limits.maxFds", "8192"}},
           {{"bootstrap", "true"}}};
 }
 
@@ -108,10 +109,13 @@
     CHECK(s.retry_allowance ==
           (values.contains("bounds.budgetSlack") ? 168 : 50));
     CHECK(s.max_probe_rate == (values.contains("bounds.probesPerS") ? 42 : 60));
+    CHECK(s.memory_mb == (values.contains("limits.memoryMb") ? 512 : 160));
+    CHECK(s.max_descriptors == (values.contains("limits.maxFds") ? 8192 : 0));
     CHECK(DescribeMissingSettings(s).empty() ==
           (values.contains("bounds.drainS") &&
            values.contains("bounds.budgetSlack") &&
            values.contains("bounds.probesPerS") &&
+           values.contains("limits.maxFds") &&
            values.contains("bounds.exposeShare")));
   }
 }
@@ -124,7 +128,8 @@
   CHECK(ReadFilled(filled).missing.empty());
   for (const char* name :
        {"expose-share", "expose-slack", "stop-s", "config-s", "drain-s",
-        "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s"}) {
+        "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s",
+        "memory-mb", "max-fds"}) {
     CAPTURE(name);
     const std::string absent = WithoutLine(filled, name);
     REQUIRE(absent != filled);
@@ -153,6 +158,8 @@
                                   {"expose-share", "nan", "0 to 1"},
                                   {"probes-per-s", "0", "0.1 to 1e+06"},
                                   {"stop-s", "6x", "0.1 to 600"},
+                                  {"memory-mb", "8", "16 to 1e+06"},
+                                  {"max-fds", "-1", "96 to 1e+08"},
                                   {"first-start", "maybe", "true or false"}}) {
     CAPTURE(invalid.name);
     const std::string text =
--- a/packages/core/include/dotterellead/core.h
+++ b/packages/core/include/dotterellead/core.h
@@ -221,6 +221,16 @@
 // to agree on ownership.
 std::uint64_t StableHash(std::string_view text);
 
+// The same hash of a text that is given in parts.
+class stable_hasher {
+ public:
+  void Add(std::string_view part);
+  std::uint64_t Hash() const;
+
+ private:
+  std::uint64_t state_ = 0xcbf29ce484222325ULL;
+};
+
 // Compares secrets. The time taken does not depend on where the texts differ.
 bool EqualInConstantTime(std::string_view given, std::string_view expected);
 
--- a/packages/core/src/core.cc
+++ b/packages/core/src/core.cc
@@ -50,12 +50,15 @@
       problem_(problem),
       remedy_(remedy) {}
 
-std::uint64_t StableHash(std::string_view text) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const char c : text) {
-    hash ^= static_cast<unsigned char>(c);
-    hash *= 0x100000001b3ULL;
+void stable_hasher::Add(std::string_view part) {
+  for (const char c : part) {
+    state_ ^= static_cast<unsigned char>(c);
+    state_ *= 0x100000001b3ULL;
   }
+}
+
+std::uint64_t stable_hasher::Hash() const {
+  std::uint64_t hash = state_;
   // FNV-1a alone leaves the high bits of short, similar texts equal.
   hash ^= hash >> 33;
   hash *= 0xff51afd7ed558ccdULL;
@@ -65,6 +68,12 @@
   return hash;
 }
 
+std::uint64_t StableHash(std::string_view text) {
+  stable_hasher hasher;
+  hasher.Add(text);
+  return hasher.Hash();
+}
+
 bool EqualInConstantTime(std::string_view given, std::string_view expected) {
   // The volatile variable keeps the compiler from returning at the first
   // difference.
--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -22,6 +22,36 @@
 inline constexpr milliseconds kDefaultRequestTimeout{10'000};
 inline constexpr milliseconds kMaxRequestTimeout{300'000};
 
+// Memory of the machine if the settings do not state it: that of the smallest
+// hosts.
+inline constexpr std::uint64_t kDefaultMemoryMb = 160;
+inline constexpr std::uint64_t kMinMemoryMb = 16;
+// The part of it, in per cent, that callers and servers can make a host hold.
+// The rest is for the program, its catalog and what the allocator cannot reuse.
+inline constexpr std::uint64_t kBudgetPercent = 62;
+// Descriptors that callers' connections leave to servers, the store and other
+// hosts: a quarter, and at least this many.
+inline constexpr std::uint64_t kMinReservedDescriptors = 48;
+inline constexpr std::uint64_t kMinDescriptors = 96;
+// A caller's body arrives at least at this rate, beyond the idle timeout of the
+// configuration. Callers that send all of a body within the idle timeout, as
+// was required before, are faster.
+inline constexpr std::uint64_t kMinBodyBytesPerSecond = 16 << 10;
+// Standalone: copies of a body while its request is served (as received, for
+// the handler, for the server, and what a growing buffer takes), and memory of
+// the machine if the settings do not state it, which holds a largest body for
+// each caller thread.
+inline constexpr std::uint64_t kBodyCopies = 4;
+inline constexpr std::uint64_t kDefaultStandaloneMemoryMb = 1'024;
+// Bytes received from a caller beyond the header and not yet parsed.
+inline constexpr std::size_t kMaxCallerUnparsedBytes = 16 << 10;
+// What a caller's connection takes beside its buffer.
+inline constexpr std::size_t kCallerConnectionBytes = 8 << 10;
+// Bytes in a socket's send buffer that the network has not taken.
+inline constexpr int kMaxUnsentBytes = 128 << 10;
+// Retry-After of a request that found no memory.
+inline constexpr milliseconds kNoMemoryRetryAfter{1'000};
+
 // Between entry hosts. A forwarded request has these in addition to the
 // caller's headers: the envelope, the signature, and those added by the client
 // library.
--- a/packages/traffic/include/dotterellead/traffic.h
+++ b/packages/traffic/include/dotterellead/traffic.h
@@ -54,6 +54,14 @@
   // Limit of the responses that are buffered at one time. A response beyond it
   // counts as invalid.
   byte_count max_buffered_responses{limits::kMaxBufferedResponseBytes};
+  // What callers and servers can make this host hold: headers, bodies, buffers
+  // and responses.
+  byte_count memory{(limits::kDefaultMemoryMb << 20) * limits::kBudgetPercent /
+                    100};
+  // Callers' connections that may be open. Idle ones are closed to make room.
+  std::uint64_t max_caller_connections = UINT64_MAX;
+  // Connections to servers that may be open; further ones wait.
+  std::uint64_t max_server_connections = UINT64_MAX;
 };
 
 // Counters since the start and current numbers of open connections and
@@ -70,6 +78,14 @@
   std::uint64_t open_requests = 0;
   // Whether callers can open connections.
   bool is_accepting = false;
+  // Bytes that are held now for callers and servers.
+  std::uint64_t held_bytes = 0;
+  // Requests that were rejected before they ran, or while their body arrived,
+  // for lack of memory; and of the latter those that gave way to others.
+  std::uint64_t rejected_for_memory = 0;
+  std::uint64_t evicted_requests = 0;
+  // Callers' connections that were refused or closed for lack of descriptors.
+  std::uint64_t closed_callers = 0;
 };
 
 // All methods but Start and Stop are thread-safe.
--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -1,5 +1,8 @@
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 #include "dotterellead/read_message.h"
 #include "service_impl.h"
 
@@ -18,56 +21,23 @@
 // Delay before accepting again after a shortage of descriptors or memory.
 constexpr milliseconds kAcceptRetryDelay{20};
 
-// Returns the status to send for a request that could not be read; nullopt if
-// the connection just ended.
-std::optional<http::status> StatusOfReadError(const error_code& ec,
-                                              bool has_started) {
-  if (ec == http::error::header_limit)
-    return http::status::request_header_fields_too_large;
-  if (ec == http::error::body_limit)
-    return http::status::payload_too_large;
-  if (ec == beast::error::timeout)
-    return has_started ? std::optional(http::status::request_timeout)
-                       : std::nullopt;
-  if (ec.category() == make_error_code(http::error::bad_method).category() &&
-      ec != http::error::end_of_stream && ec != http::error::partial_message)
-    return http::status::bad_request;
-  return std::nullopt;
+// Keeps the kernel from taking a whole response of a caller that reads slowly:
+// that memory is not in the budget.
+void LimitUnsentBytes(tcp::socket& socket) {
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+             &limits::kMaxUnsentBytes, sizeof(limits::kMaxUnsentBytes));
 }
 
-// Timeout for reading that cancels the read without closing the connection,
-// unlike the stream's own timeout, so that a response can still be sent.
-class read_timeout {
- public:
-  explicit read_timeout(std::shared_ptr<beast::tcp_stream> stream)
-      : stream_(std::move(stream)), timer_(stream_->get_executor()) {
-    stream_->expires_never();
-  }
-  void Start(milliseconds timeout) {
-    timer_.expires_after(timeout);
-    timer_.async_wait([stream = stream_, state = state_](error_code ec) {
-      if (ec || state->is_stopped)
-        return;
-      state->is_expired = true;
-      stream->cancel();
-    });
-  }
-  // Returns whether the timeout had expired.
-  bool Stop() {
-    state_->is_stopped = true;
-    timer_.cancel();
-    return state_->is_expired;
-  }
-
- private:
-  struct shared_state {
-    bool is_expired = false;
-    bool is_stopped = false;
-  };
-  std::shared_ptr<beast::tcp_stream> stream_;
-  asio::steady_timer timer_;
-  std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
-};
+// Answers a connection for which there is no descriptor to spare.
+void RefuseConnection(beast::tcp_stream& stream) {
+  constexpr std::string_view kAnswer =
+      "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+      "Connection: close\r\nContent-Length: 0\r\n\r\n";
+  // An answer that does not fit is not worth waiting for.
+  (void)::send(stream.socket().native_handle(), kAnswer.data(), kAnswer.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+  stream.close();
+}
 
 // Equal for requests with the same caller, method, target and body.
 request_fingerprint FingerprintOf(beast::tcp_stream& stream,
@@ -78,8 +48,13 @@
       stream.socket().remote_endpoint(ignored).address().to_string();
   text += ' ';
   text += std::string(request.method_string());
-  text += ' ' + target.host + ' ' + target.path + ' ' + request.body();
-  return request_fingerprint(StableHash(text));
+  text += ' ' + target.host + ' ' + target.path + ' ';
+  stable_hasher hasher;
+  hasher.Add(text);
+  const body_blocks& body = *request.body().blocks;
+  for (std::size_t i = 0; i < body.block_count(); ++i)
+    hasher.Add(body.BlockAt(i));
+  return request_fingerprint(hasher.Hash());
 }
 
 }  // namespace
@@ -120,13 +95,37 @@
 
 void traffic_service::impl::StartServing(
     std::shared_ptr<beast::tcp_stream> stream) {
+  if (!MakeRoomForCaller()) {
+    ++closed_caller_count_;
+    RefuseConnection(*stream);
+    return;
+  }
   error_code ignored;  // Optional: only affects latency.
   stream->socket().set_option(tcp::no_delay(true), ignored);
+  LimitUnsentBytes(stream->socket());
   auto counted = std::make_shared<open_caller>(open_caller_count_);
   Spawn(io_, "traffic-caller",
         ServeCaller(std::move(stream), std::move(counted)));
 }
 
+bool traffic_service::impl::MakeRoomForCaller() {
+  if (open_caller_count_ < settings_.max_caller_connections)
+    return true;
+  const auto oldest =
+      std::min_element(idle_callers_.begin(), idle_callers_.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.since < b.second.since;
+                       });
+  if (oldest == idle_callers_.end())
+    return false;
+  const auto stream = oldest->second.stream.lock();
+  idle_callers_.erase(oldest);
+  ++closed_caller_count_;
+  if (stream)
+    stream->close();
+  return true;
+}
+
 void traffic_service::impl::StopAccepting() {
   // Connections in the listening socket's queue may carry requests already.
   error_code ec;
@@ -151,8 +150,8 @@
 }
 
 void traffic_service::impl::CloseIdleCallers() {
-  for (auto& [stream, weak] : idle_callers_)
-    if (auto idle = weak.lock())
+  for (auto& [stream, caller] : idle_callers_)
+    if (auto idle = caller.stream.lock())
       idle->cancel();
 }
 
@@ -160,19 +159,25 @@
     std::shared_ptr<beast::tcp_stream> stream,
     std::shared_ptr<open_caller>) {
   beast::flat_buffer buffer(limits_.header_size.value +
-                            limits::kMaxUnparsedBytes);
+                            limits::kMaxCallerUnparsedBytes);
+  memory_account account(budget_, account_kind::kConnection);
   bool is_first = true;
-  while (co_await ServeOneRequest(stream, buffer, is_first))
+  while (co_await ServeOneRequest(stream, buffer, account, is_first))
     is_first = false;
+  buffer.clear();
+  buffer.shrink_to_fit();
   error_code ignored;  // The connection may already be closed.
   stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
   // Discards what the caller still sends, so that closing does not reset the
   // connection before the response has arrived.
   constexpr milliseconds kLinger{300};
-  stream->expires_after(kLinger);
+  const time_point end = std::chrono::steady_clock::now() + kLinger;
+  stream->expires_at(end);
   std::array<char, 512> discarded;
   error_code ec;
-  while (!ec)
+  // The stream's own timeout does not interrupt a caller that always has more
+  // bytes ready.
+  while (!ec && std::chrono::steady_clock::now() < end)
     co_await stream->async_read_some(asio::buffer(discarded), Resume(ec));
   stream->close();
 }
@@ -180,6 +185,7 @@
 task<bool> traffic_service::impl::ServeOneRequest(
     const std::shared_ptr<beast::tcp_stream>& stream,
     beast::flat_buffer& buffer,
+    memory_account& account,
     bool is_first) {
   error_code ec;
   // Waits for the first byte without holding a buffer for the idle connection.
@@ -187,7 +193,9 @@
     if (is_draining_ && !is_first)
       co_return false;
     buffer.shrink_to_fit();
-    idle_callers_[stream.get()] = stream;
+    account.Resize({limits::kCallerConnectionBytes},
+                   std::chrono::steady_clock::now());
+    idle_callers_[stream.get()] = {stream, std::chrono::steady_clock::now()};
     stream->expires_after(limits_.idle_timeout);
     const std::size_t received =
         co_await stream->async_read_some(buffer.prepare(2048), Resume(ec));
@@ -196,35 +204,22 @@
       co_return false;
     buffer.commit(received);
   }
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits_.header_size.value));
-  parser.body_limit(limits_.body_size.value);
-  read_timeout read_timer(stream);
-  read_timer.Start(limits_.header_timeout);
-  co_await http::async_read_header(*stream, buffer, parser, Resume(ec));
-  if (!ec) {
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
-        parser.get().version() >= 11) {
-      http::response<http::empty_body> continue_response(
-          http::status::continue_, 11);
-      co_await http::async_write(*stream, continue_response, Resume(ec));
-    }
-    read_timer.Start(limits_.idle_timeout);
-    co_await http::async_read(*stream, buffer, parser, Resume(ec));
-  }
-  if (read_timer.Stop())
-    ec = beast::error::timeout;
-  if (ec) {
-    const std::optional<http::status> status = StatusOfReadError(ec, true);
-    if (!status)
+  caller_parser parser;
+  if (const auto unread =
+          co_await ReadRequest(stream, buffer, account, parser)) {
+    if (!unread->status)
       co_return false;
     LogEvent(log_level::kInfo, "caller-request-unreadable",
-             {{"problem", ec.message()},
-              {"status", std::to_string(static_cast<int>(*status))}});
-    response_message response =
-        MakeOwnResponse(*status, ec.message(), {}, false);
-    stream->expires_after(kWriteTimeout);
-    co_await http::async_write(*stream, response, Resume(ec));
+             {{"problem", unread->reason},
+              {"status", std::to_string(static_cast<int>(*unread->status))}});
+    std::optional<milliseconds> retry_after;
+    if (*unread->status == http::status::service_unavailable)
+      retry_after = limits::kNoMemoryRetryAfter;
+    // GCC 12 destroys a temporary argument of co_await twice.
+    caller_response rejection;
+    rejection.message =
+        MakeOwnResponse(*unread->status, unread->reason, retry_after, false);
+    co_await WriteToCaller(stream, std::move(rejection), false, false);
     co_return false;
   }
   const bool is_chunked = parser.chunked();
@@ -233,19 +228,39 @@
   const bool is_head = request->method() == http::verb::head;
   std::optional<caller_response> outcome =
       co_await HandleRequest(stream, request, is_chunked, buffer.size() == 0);
+  // The body is not needed while the response is written.
+  request.reset();
   if (!outcome)
     co_return false;
   const bool keep_alive =
       caller_keep_alive && !is_draining_ && !outcome->must_close;
+  const bool is_written =
+      co_await WriteToCaller(stream, std::move(*outcome), is_head, keep_alive);
+  co_return is_written&& keep_alive;
+}
+
+task<bool> traffic_service::impl::WriteToCaller(
+    const std::shared_ptr<beast::tcp_stream>& stream,
+    caller_response outcome,
+    bool is_head,
+    bool keep_alive) {
   response_message response =
-      MakeCallerResponse(std::move(outcome->message), is_head, keep_alive);
+      MakeCallerResponse(std::move(outcome.message), is_head, keep_alive);
+  // A caller that does not read loses its response when memory is short.
+  outcome.reservation.SetEvict([stream] { stream->close(); },
+                               std::chrono::steady_clock::now());
   stream->expires_after(kWriteTimeout);
   http::response_serializer<http::string_body> serializer(response);
-  if (is_head)
+  error_code ec;
+  if (is_head) {
     co_await http::async_write_header(*stream, serializer, Resume(ec));
-  else
-    co_await http::async_write(*stream, serializer, Resume(ec));
-  co_return !ec && keep_alive;
+    co_return !ec;
+  }
+  while (!ec && !serializer.is_done()) {
+    co_await http::async_write_some(*stream, serializer, Resume(ec));
+    outcome.reservation.NoteProgress(std::chrono::steady_clock::now());
+  }
+  co_return !ec;
 }
 
 task<std::optional<caller_response>> traffic_service::impl::HandleRequest(
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -66,7 +66,7 @@
 
 task<> WriteRequest(connection_ptr connection,
                     std::shared_ptr<pending_write> write) {
-  http::request_serializer<http::string_body, http::fields> serializer(
+  http::request_serializer<block_body, http::fields> serializer(
       *write->request);
   co_await http::async_write(connection->stream, serializer, Resume(write->ec));
   write->is_done = true;
@@ -79,7 +79,7 @@
   bool needs_eof = false;
   // A part of it, or of what preceded it, exceeded a limit or was no HTTP.
   bool is_invalid = false;
-  memory_reservation reservation;
+  memory_account reservation;
 };
 
 // Whether a read failed because of what the server sent, rather than because
@@ -96,16 +96,52 @@
   time_point deadline;
 };
 
+// The capacity that the body of a response may have after the next read.
+std::uint64_t NextCapacity(
+    const http::response_parser<http::string_body>& parser,
+    const beast::flat_buffer& buffer,
+    bool is_head) {
+  constexpr std::uint64_t kSmallestRead = 512;
+  const std::string& body = parser.get().body();
+  if (!parser.is_header_done() || is_head)
+    return 0;
+  if (const auto length = parser.content_length())
+    return std::max<std::uint64_t>(body.capacity(), *length);
+  const std::uint64_t next = buffer.capacity() + kSmallestRead;
+  return body.size() + next <= body.capacity() ? body.capacity()
+                                               : 2 * body.capacity() + next;
+}
+
+// Waits for room for a response, which others may be giving up; false if there
+// is none.
+task<bool> ReserveResponse(beast::tcp_stream& stream,
+                           memory_account& account,
+                           byte_count size,
+                           time_point deadline) {
+  constexpr milliseconds kMaxWait{300};
+  constexpr milliseconds kRetryInterval{10};
+  const time_point end =
+      std::min(deadline, std::chrono::steady_clock::now() + kMaxWait);
+  while (!account.Resize(size, std::chrono::steady_clock::now())) {
+    if (std::chrono::steady_clock::now() >= end)
+      co_return false;
+    asio::steady_timer timer(stream.get_executor(), kRetryInterval);
+    error_code ec;
+    co_await timer.async_wait(Resume(ec));
+  }
+  co_return true;
+}
+
 // Reads one response, interim or final, and adds its size on the connection to
 // `size`. Sets `ec` if it is not read completely.
 task<received_response> ReadOneResponse(connection_ptr connection,
-                                        response_memory& memory,
+                                        host_budget& memory,
                                         response_bounds bounds,
                                         bool is_head,
                                         std::uint64_t& size,
                                         error_code& ec) {
   received_response result;
-  result.reservation = memory_reservation(memory);
+  result.reservation = memory_account(memory, account_kind::kResponse);
   http::response_parser<http::string_body> parser;
   parser.body_limit(bounds.max_body);
   parser.header_limit(limits::kMaxServerHeaderBytes);
@@ -114,18 +150,29 @@
   // body (see ReadMessage), and after each part of a chunk, so that the limit
   // includes what frames the chunks.
   while (!ec && !parser.is_done()) {
+    const byte_count next{NextCapacity(parser, connection->buffer, is_head)};
+    if (next.value > 2 * bounds.max_body + limits::kMaxUnparsedBytes) {
+      ec = http::error::body_limit;
+      break;
+    }
+    if (!co_await ReserveResponse(connection->stream, result.reservation, next,
+                                  bounds.deadline)) {
+      ec = http::error::buffer_overflow;
+      break;
+    }
     const std::size_t parsed = co_await http::async_read_some(
         connection->stream, connection->buffer, parser, Resume(ec));
     size += parsed;
     if (!ec && size > bounds.max_body + limits::kMaxServerFramingBytes)
       ec = http::error::body_limit;
-    if (!ec && !result.reservation.Resize({parser.get().body().capacity()}))
-      ec = http::error::buffer_overflow;
     // The stream's own timeout does not interrupt a peer that always has more
     // bytes ready.
     if (!ec && std::chrono::steady_clock::now() >= bounds.deadline)
       ec = beast::error::timeout;
   }
+  if (!ec)
+    result.reservation.Resize({parser.get().body().capacity()},
+                              std::chrono::steady_clock::now());
   result.is_invalid = ec && IsInvalidInput(ec);
   result.needs_eof = parser.need_eof();
   result.message = parser.release();
--- a/packages/traffic/src/exchange.h
+++ b/packages/traffic/src/exchange.h
@@ -6,8 +6,8 @@
 
 #include "dotterellead/dispatch.h"
 #include "dotterellead/traffic.h"
+#include "host_budget.h"
 #include "messages.h"
-#include "response_memory.h"
 #include "server_connections.h"
 #include "server_notices.h"
 
@@ -17,7 +17,7 @@
 struct exchange_context {
   server_connections& connections;
   const header_names& names;
-  response_memory& memory;
+  host_budget& memory;
   // Receives what servers say of themselves, before the exchange returns.
   notice_sink notify;
 };
@@ -30,7 +30,7 @@
   // Set if `result` is kResponded.
   response_message response;
   // The memory of `response`.
-  memory_reservation reservation;
+  memory_account reservation;
 };
 
 // Lets the owner of a request cancel the exchange in progress.
--- a/packages/traffic/src/messages.h
+++ b/packages/traffic/src/messages.h
@@ -9,10 +9,11 @@
 #include "dotterellead/dispatch.h"
 #include "dotterellead/net.h"
 #include "dotterellead/traffic.h"
+#include "request_body.h"
 
 namespace dotterellead::traffic {
 
-using request_message = http::request<http::string_body>;
+using request_message = http::request<block_body>;
 using response_message = http::response<http::string_body>;
 
 // Host and path of a request; `problem` is empty if the request is valid.
--- a/packages/traffic/src/server_connections.cc
+++ b/packages/traffic/src/server_connections.cc
@@ -12,6 +12,9 @@
 // connections are closed has ended by then.
 constexpr milliseconds kClosedMemory{120'000};
 
+// How often a connection that waits for others to end looks again.
+constexpr milliseconds kFullInterval{5};
+
 // Whether the server has neither closed the connection nor sent unexpected
 // data.
 bool IsUsable(server_connection& connection) {
@@ -45,8 +48,17 @@
 task<connection_ptr> server_connections::Connect(catalog::endpoint server,
                                                  milliseconds timeout,
                                                  error_code& ec) {
-  auto connection = std::make_shared<server_connection>(io_);
-  connection->stream.expires_after(timeout);
+  const time_point deadline = std::chrono::steady_clock::now() + timeout;
+  while (*open_count_ >= max_open_) {
+    if (std::chrono::steady_clock::now() + kFullInterval >= deadline) {
+      ec = asio::error::no_descriptors;
+      co_return nullptr;
+    }
+    asio::steady_timer wait(io_, kFullInterval);
+    co_await wait.async_wait(Resume(ec));
+  }
+  auto connection = std::make_shared<server_connection>(io_, open_count_);
+  connection->stream.expires_at(deadline);
   connection->opened_at = std::chrono::steady_clock::now();
   ++connect_count_;
   co_await connection->stream.async_connect(ToTcp(server), Resume(ec));
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -144,7 +144,7 @@
   exchange_result result = co_await ExchangeRequest(
       exchanges_, attempt.server, request, attempt.timeout, handle);
   server_connection_count_ = server_connections_.connect_count();
-  buffered_response_bytes_ = response_memory_.used().value;
+  UpdateBudgetCounters();
   if (handle->is_cancelled)
     co_return;
   const auto latency = std::chrono::duration_cast<microseconds>(
@@ -206,15 +206,23 @@
     if (ec)
       co_return;
     server_connections_.CloseStale();
-    buffered_response_bytes_ = response_memory_.used().value;
+    UpdateBudgetCounters();
   }
 }
 
+void traffic_service::impl::UpdateBudgetCounters() {
+  buffered_response_bytes_ = budget_.used_by_responses().value;
+  held_bytes_ = budget_.used().value;
+  evicted_count_ = budget_.evicted_count();
+}
+
 traffic_counters traffic_service::impl::counters() const {
   return {
-      request_count_,     delivered_count_,         rejected_count_,
-      probe_count_,       server_connection_count_, buffered_response_bytes_,
-      open_caller_count_, open_request_count_,      is_accepting_};
+      request_count_,      delivered_count_,         rejected_count_,
+      probe_count_,        server_connection_count_, buffered_response_bytes_,
+      open_caller_count_,  open_request_count_,      is_accepting_,
+      held_bytes_,         memory_reject_count_,     evicted_count_,
+      closed_caller_count_};
 }
 
 // ---- Public interface
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -16,7 +16,7 @@
 // The response for a caller, with its share of the host's memory for responses.
 struct caller_response {
   response_message message;
-  memory_reservation reservation;
+  memory_account reservation;
   // The connection cannot be used after it: the framing of the request, or its
   // end, is not known.
   bool must_close = false;
@@ -54,6 +54,21 @@
 
 using open_request_ptr = std::shared_ptr<open_request>;
 
+// A caller's connection that waits for a request.
+struct idle_caller {
+  std::weak_ptr<beast::tcp_stream> stream;
+  time_point since;
+};
+
+// Why a request was not read whole.
+struct unread_request {
+  // None if the connection ended.
+  std::optional<http::status> status;
+  std::string reason;
+};
+
+using caller_parser = http::request_parser<block_body>;
+
 struct set_limits {
   catalog::caller_limits limits;
 };
@@ -85,10 +100,30 @@
   void StopAccepting();
   task<> CloseSilentCallers();
   void CloseIdleCallers();
+  // Closes the connection that is idle for the longest time if callers have
+  // all that they may open; false if none is idle.
+  bool MakeRoomForCaller();
   // Returns false if the connection is to be closed.
   task<bool> ServeOneRequest(const std::shared_ptr<beast::tcp_stream>& stream,
                              beast::flat_buffer& buffer,
+                             memory_account& account,
                              bool is_first);
+  task<bool> WriteToCaller(const std::shared_ptr<beast::tcp_stream>& stream,
+                           caller_response outcome,
+                           bool is_head,
+                           bool keep_alive);
+  // Reads one request within the host's budget (read_request.cc); nullopt if it
+  // is read whole.
+  task<std::optional<unread_request>> ReadRequest(
+      const std::shared_ptr<beast::tcp_stream>& stream,
+      beast::flat_buffer& buffer,
+      memory_account& account,
+      caller_parser& parser);
+  task<error_code> ReadBody(const std::shared_ptr<beast::tcp_stream>& stream,
+                            beast::flat_buffer& buffer,
+                            caller_parser& parser);
+  unread_request NoMemory();
+  void UpdateBudgetCounters();
   // Passes a request to the dispatcher and waits for the response; nullopt if
   // the caller has disconnected.
   task<std::optional<caller_response>> HandleRequest(
@@ -127,15 +162,15 @@
   traffic_settings settings_;
   to_dispatcher post_;
   // Outlives the coroutines of the loop, which hold reservations.
-  response_memory response_memory_{settings_.max_buffered_responses};
+  host_budget budget_{{settings_.memory, settings_.max_buffered_responses}};
   event_loop loop_;
   asio::io_context& io_ = loop_.io();
   tcp::acceptor front_acceptor_{io_};
   tcp::acceptor ready_acceptor_{io_};
   tcp::acceptor metrics_acceptor_{io_};
-  server_connections server_connections_{io_};
+  server_connections server_connections_{io_, settings_.max_server_connections};
   exchange_context exchanges_{
-      server_connections_, settings_.headers, response_memory_,
+      server_connections_, settings_.headers, budget_,
       [this](dispatch::server_notice notice) { post_(std::move(notice)); }};
   mailbox<command> commands_;
   std::map<request_id, open_request_ptr> open_requests_;
@@ -143,7 +178,7 @@
   catalog::caller_limits limits_;
   bool is_draining_ = false;
   // Connections without a request in progress; closed when draining starts.
-  std::map<beast::tcp_stream*, std::weak_ptr<beast::tcp_stream>> idle_callers_;
+  std::map<beast::tcp_stream*, idle_caller> idle_callers_;
   std::atomic<bool> is_ready_ = false;
   std::atomic<bool> is_accepting_ = false;
   std::atomic<std::uint64_t> request_count_ = 0;
@@ -154,6 +189,10 @@
   std::atomic<std::uint64_t> open_request_count_ = 0;
   std::atomic<std::uint64_t> server_connection_count_ = 0;
   std::atomic<std::uint64_t> buffered_response_bytes_ = 0;
+  std::atomic<std::uint64_t> held_bytes_ = 0;
+  std::atomic<std::uint64_t> memory_reject_count_ = 0;
+  std::atomic<std::uint64_t> evicted_count_ = 0;
+  std::atomic<std::uint64_t> closed_caller_count_ = 0;
 };
 
 }  // namespace dotterellead::traffic
