Bound callers' bodies and connections in the standalone listener

A body was bounded for each connection only, and connections that waited for a thread kept their descriptors.

Change: http_listener has a budget for requests and answers in progress and a limit on connections. A stated length is taken at the header, other bodies in steps, both before they are read: 503 with Retry-After, and no 100 Continue for a rejected request. A body that does not arrive, or arrives too slowly, gets 408. The callers' listener closes idle connections when others wait.

The standalone program was not built with this change, and crowd_standalone_* were not run, neither before nor after it.

--- a/apps/standalone/entry_host.cc
+++ b/apps/standalone/entry_host.cc
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <fstream>
 
+#include "dotterellead/descriptors.h"
 #include "entry_host_impl.h"
 
 namespace dotterellead {
@@ -156,6 +157,11 @@
              [this] { return state_.ends_at.load(); }}),
       callers_({.address = settings_.caller_address,
                 .threads = settings_.caller_threads,
+                .closes_idle_when_full = true,
+                .body_budget = {(settings_.memory_mb << 20) *
+                                limits::kBudgetPercent / 100},
+                .max_connections = CallerShareOfDescriptors(
+                    AllDescriptors(settings_.max_descriptors)),
                 .decorate = MarkNotRun},
                [this](const http_request& request, const http_peer& caller) {
                  return Serve(request, caller);
--- a/apps/standalone/settings.cc
+++ b/apps/standalone/settings.cc
@@ -21,6 +21,8 @@
   std::string resources_file;
   std::string choice_policy = "forwarded";
   std::size_t caller_threads = limits::kCallerThreads;
+  std::uint64_t memory_mb = limits::kDefaultStandaloneMemoryMb;
+  std::uint64_t max_descriptors = 0;
   std::int64_t shutdown_grace_ms = limits::kShutdownGrace.count();
   std::string level = "info";
   bool check_only = false;
@@ -95,6 +97,15 @@
                  "Caller connections served at once")
       ->envname("DOTTERELLEAD_CALLER_THREADS")
       ->check(CLI::Range(1, 4096));
+  app.add_option("--memory-mb", raw.memory_mb, "Memory of the machine in MB")
+      ->envname("DOTTERELLEAD_MEMORY_MB")
+      ->check(CLI::Range(static_cast<std::uint64_t>(limits::kMinMemoryMb),
+                         std::uint64_t{1'000'000}));
+  app.add_option("--max-fds", raw.max_descriptors,
+                 "Descriptors that the process may open; without it the "
+                 "process's limit of open files")
+      ->envname("DOTTERELLEAD_MAX_FDS")
+      ->check(CLI::Range(limits::kMinDescriptors, std::uint64_t{100'000'000}));
   app.add_option("--shutdown-grace-ms", raw.shutdown_grace_ms,
                  "Time for requests in flight after SIGTERM, in ms")
       ->envname("DOTTERELLEAD_SHUTDOWN_GRACE_MS")
@@ -143,6 +154,8 @@
   s.resources_file = raw.resources_file;
   s.choice_policy = raw.choice_policy;
   s.caller_threads = raw.caller_threads;
+  s.memory_mb = raw.memory_mb;
+  s.max_descriptors = raw.max_descriptors;
   s.shutdown_grace = milliseconds(raw.shutdown_grace_ms);
   s.level = LevelOf(raw.level);
   s.check_only = raw.check_only;
--- a/apps/standalone/settings.h
+++ b/apps/standalone/settings.h
@@ -25,6 +25,9 @@
   std::string resources_file;
   std::string choice_policy;
   std::size_t caller_threads = limits::kCallerThreads;
+  std::uint64_t memory_mb = limits::kDefaultStandaloneMemoryMb;
+  // Descriptors that the process may open; 0 for the process's limit.
+  std::uint64_t max_descriptors = 0;
   milliseconds shutdown_grace = limits::kShutdownGrace;
   log_level level = log_level::kInfo;
   bool check_only = false;
--- a/packages/http/include/dotterellead/http.h
+++ b/packages/http/include/dotterellead/http.h
@@ -79,6 +79,11 @@
   // request that it sends at that moment.
   bool closes_idle_when_full = false;
   byte_count max_body{limits::kMaxBodyBytes};
+  // What all requests and answers in progress may take; a request beyond it
+  // gets 503 before its body is read.
+  byte_count body_budget{UINT64_MAX};
+  // Connections beyond it get 503 and are closed. Those beyond `threads` wait.
+  std::size_t max_connections = SIZE_MAX;
   std::size_t max_headers = limits::kMaxHeaders;
   byte_count max_header_bytes{limits::kMaxHeaderBytes};
   milliseconds idle_timeout{5'000};
--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -9,6 +9,7 @@
 #include <cctype>
 #include <cerrno>
 
+#include "body_budget.h"
 #include "dotterellead/http.h"
 
 namespace dotterellead {
@@ -34,6 +35,8 @@
 // What the connection's thread knows of the request it serves, beyond what
 // httplib passes on.
 struct call_context {
+  explicit call_context(body_budget& budget) : reservation(budget) {}
+  body_reservation reservation;
   int socket = -1;
   std::uint64_t connection_number = 0;
   http_headers headers;
@@ -48,6 +51,17 @@
 
 thread_local call_context* current_call = nullptr;
 
+// Set while a connection beyond the limit is handed over.
+thread_local bool refuses_connection = false;
+
+void RejectRecord(call_context& call, int status, std::string reason) {
+  if (call.refusal_status != 0)
+    return;
+  call.refusal_status = status;
+  call.refusal = std::move(reason);
+  call.close_after = true;
+}
+
 // Lets a restarted process bind while connections of its predecessor still time
 // out. Unlike the library's default, it does not let two processes share the
 // port.
@@ -122,16 +136,25 @@
   }
   // Start to count a request's header, or body, anew; reads fail once it
   // exceeds its limit. The body's includes its framing.
-  void BeginHeaders() { BeginCount(max_header_bytes_); }
+  void BeginHeaders() {
+    BeginCount(max_header_bytes_);
+    body_begun_.reset();
+  }
   void BeginBody(byte_count max_body) {
     BeginCount(byte_count{max_body.value + limits::kMaxRequestFramingBytes});
+    body_begun_ = std::chrono::steady_clock::now();
   }
 
   ssize_t read(char* data, size_t size) override {
-    if (begin_ == end_ && !Fill())
+    if (begin_ == end_ && !Fill()) {
+      if (body_begun_)
+        RejectRecord(*current_call, 408, "the body does not arrive");
       return -1;
+    }
     const size_t n = std::min(size, end_ - begin_);
     counted_bytes_ += n;
+    if (body_begun_ && !MayTakeBody())
+      return -1;
     if (counted_bytes_ > max_counted_bytes_) {
       current_call->close_after = true;
       return -1;
@@ -168,6 +191,22 @@
     counted_bytes_ = 0;
     max_counted_bytes_ = max.value;
   }
+  // Whether the body arrives at the minimum rate and finds memory.
+  bool MayTakeBody() const {
+    const auto allowed =
+        timeout_ +
+        milliseconds(1'000 * counted_bytes_ / limits::kMinBodyBytesPerSecond);
+    if (std::chrono::steady_clock::now() > *body_begun_ + allowed) {
+      RejectRecord(*current_call, 408, "the body arrives too slowly");
+      return false;
+    }
+    if (!current_call->reservation.Cover(limits::kBodyCopies *
+                                         counted_bytes_)) {
+      RejectRecord(*current_call, 503, "no memory for the request");
+      return false;
+    }
+    return true;
+  }
   bool SendAll(std::string_view data) const {
     while (!data.empty()) {
       if (!is_writable())
@@ -196,16 +235,30 @@
   std::array<char, 8192> buffer_{};
   size_t begin_ = 0;
   size_t end_ = 0;
+  // Set while a body is read.
+  std::optional<time_point> body_begun_;
   std::uint64_t counted_bytes_ = 0;
   std::uint64_t max_counted_bytes_ = UINT64_MAX;
 };
 
-// Sets an event while there are more connections than threads.
+// Sets an event while there are more connections than threads, and refuses
+// those beyond the limit.
 class counting_pool : public httplib::ThreadPool {
  public:
-  counting_pool(std::size_t threads, wake_event& full)
-      : ThreadPool(threads), threads_(threads), full_(full) {}
+  counting_pool(std::size_t threads,
+                std::size_t max_connections,
+                wake_event& full)
+      : ThreadPool(threads),
+        threads_(threads),
+        max_connections_(max_connections),
+        full_(full) {}
   void enqueue(std::function<void()> serve) override {
+    if (connections_ >= max_connections_) {
+      refuses_connection = true;
+      serve();
+      refuses_connection = false;
+      return;
+    }
     if (++connections_ > threads_)
       full_.Set();
     ThreadPool::enqueue([this, serve = std::move(serve)] {
@@ -217,18 +270,11 @@
 
  private:
   const std::size_t threads_;
+  const std::size_t max_connections_;
   wake_event& full_;
   std::atomic<std::size_t> connections_{0};
 };
 
-void RejectRecord(call_context& call, int status, std::string reason) {
-  if (call.refusal_status != 0)
-    return;
-  call.refusal_status = status;
-  call.refusal = std::move(reason);
-  call.close_after = true;
-}
-
 // Checks the headers that decide where a request ends. A request that two
 // parties could read differently must not be forwarded.
 void CheckFraming(const httplib::Request& request,
@@ -263,6 +309,8 @@
                               std::to_string(options.max_body.value) +
                               " bytes; send less");
     }
+    if (!call.reservation.Cover(limits::kBodyCopies * std::stoull(value)))
+      return RejectRecord(call, 503, "no memory for the request");
   }
   if (request.headers.size() > options.max_headers)
     return RejectRecord(call, 431, "too many headers; send fewer");
@@ -329,7 +377,8 @@
   impl(http_listener_options options, handler handle)
       : options_(std::move(options)), handle_(std::move(handle)) {
     new_task_queue = [this] {
-      return new counting_pool(options_.threads, full_);
+      return new counting_pool(options_.threads, options_.max_connections,
+                               full_);
     };
     set_socket_options(AllowRestart);
     set_tcp_nodelay(true);
@@ -345,6 +394,15 @@
     };
     Get(".*", run).Post(".*", run).Put(".*", run).Patch(".*", run);
     Delete(".*", run).Options(".*", run);
+    // A refused request is not asked for its body.
+    set_expect_100_continue_handler(
+        [this](const httplib::Request&, httplib::Response& response) {
+          if (current_call->refusal_status == 0)
+            return 100;
+          Refuse(response);
+          Decorate(response);
+          return response.status;
+        });
     set_error_handler(
         Handler([this](const httplib::Request&, httplib::Response& response) {
           Decorate(response);
@@ -397,11 +455,18 @@
       }
       RejectRecord(*current_call, 405, "the method is not supported");
     }
+    Refuse(response);
+    Decorate(response);
+    return HandlerResponse::Handled;
+  }
+
+  // Writes the refusal of the current call.
+  static void Refuse(httplib::Response& response) {
     response.status = current_call->refusal_status;
     response.body = current_call->refusal + "\n";
     response.set_header("Content-Type", "text/plain");
-    Decorate(response);
-    return HandlerResponse::Handled;
+    if (response.status == 503)
+      response.set_header("Retry-After", "1");
   }
 
   void Run(const httplib::Request& request, httplib::Response& response) {
@@ -416,6 +481,11 @@
         call,
         socket_peer(current_call->socket, current_call->connection_number));
     current_call->answered = true;
+    // A caller that does not read its answer holds this memory.
+    if (!current_call->reservation.Add(answer.body.size())) {
+      shutdown(current_call->socket, SHUT_RDWR);
+      answer = {};
+    }
     response.status = answer.status;
     for (const http_header& header : answer.headers) {
       if (request.method == "HEAD" || !IsContentLength(header.name))
@@ -429,6 +499,9 @@
   void Decorate(httplib::Response& response) {
     if (current_call->answered)
       return;
+    // A body that could not be taken; httplib calls it malformed.
+    if (current_call->refusal_status != 0)
+      Refuse(response);
     http_answer answer;
     answer.status = response.status;
     if (options_.decorate)
@@ -443,7 +516,7 @@
   }
 
   bool ServeOne(socket_stream& stream, int socket, std::uint64_t number) {
-    call_context call;
+    call_context call(budget_);
     call.socket = socket;
     call.connection_number = number;
     current_call = &call;
@@ -462,6 +535,16 @@
   }
 
   bool process_and_close_socket(socket_t socket) override {
+    if (refuses_connection) {
+      constexpr std::string_view kAnswer =
+          "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+          "Connection: close\r\nContent-Length: 0\r\n\r\n";
+      // An answer that does not fit is not worth waiting for.
+      (void)send(socket, kAnswer.data(), kAnswer.size(),
+                 MSG_DONTWAIT | MSG_NOSIGNAL);
+      close(socket);
+      return true;
+    }
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     socket_stream stream(socket, options_.read_timeout,
@@ -479,6 +562,7 @@
   }
 
   http_listener_options options_;
+  body_budget budget_{options_.body_budget};
   handler handle_;
   std::thread accepting_;
   std::atomic<bool> closing_{false};
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -137,6 +138,54 @@
   }
 }
 
+// Guards against callers that together hold more memory, or more connections,
+// than the host has.
+TEST_CASE(
+    "bodies without memory, slow ones and surplus connections end early") {
+  std::atomic<int> calls{0};
+  http_listener listener({.address = ParseSocketAddress("127.0.0.1:0"),
+                          .threads = 4,
+                          .body_budget = {limits::kBodyCopies * 200'000},
+                          .max_connections = 3,
+                          .read_timeout = milliseconds(300)},
+                         [&](const http_request&, const http_peer&) {
+                           ++calls;
+                           return http_answer{};
+                         });
+  listener.Start();
+  const socket_address at = listener.address();
+  const std::string post = "POST / HTTP/1.1\r\n";
+  const std::string chunk = "10000\r\n" + std::string(65'536, 'c') + "\r\n";
+  std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 4; ++i)
+    chunked += chunk;
+  for (const std::string& request :
+       {post + "Expect: 100-continue\r\nContent-Length: 200001\r\n\r\n",
+        chunked}) {
+    const std::string answer = Exchange(at, request);
+    CAPTURE(request.substr(0, 50));
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 503");
+    CHECK(answer.find("Retry-After: 1") != std::string::npos);
+  }
+  CHECK(
+      Exchange(at, post + "Content-Length: 9\r\n\r\n12345678").substr(0, 12) ==
+      "HTTP/1.1 408");
+  CHECK(calls == 0);
+  // What was taken has been returned.
+  CHECK(Exchange(at, post +
+                         "Connection: close\r\nContent-Length: 200000\r\n\r\n" +
+                         std::string(200'000, 'x'))
+            .substr(0, 12) == "HTTP/1.1 200");
+  std::array<int, 3> open{};
+  for (int& fd : open)
+    fd = ConnectTo(at);
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(Exchange(at, post + "Content-Length: 0\r\n\r\n").substr(0, 12) ==
+        "HTTP/1.1 503");
+  for (const int fd : open)
+    close(fd);
+}
+
 // Guards against answers cut where headers and bodies are joined, and against a
 // stop that waits for idle connections to time out.
 TEST_CASE("answers of any size arrive whole and a stop ends idle connections") {
