Treat a status that is not from 100 to 599 as no response

Cause: the parser takes any three digits. 000, 001 and 099 passed for interim responses, after which a host waited until the deadline; 600 and 999 were passed to the caller, and taken for a health response. Texts that are no three digits were invalid already.

Change: such a status ends the reading as invalid input, for final, interim and health responses, on entry and standalone. Crash checks read no response.

--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -113,6 +113,11 @@
         size += http::read_some(stream_, buffer_, parser, ec);
         if (!ec && size > max_answer.value + limits::kMaxServerFramingBytes)
           ec = http::error::body_limit;
+        // The parser takes any three digits. Others are no status, and below
+        // 100 they would pass for interim answers.
+        const unsigned status = parser.get().result_int();
+        if (!ec && parser.is_header_done() && (status < 100 || status > 599))
+          ec = http::error::bad_status;
       }
       if (ec)
         return false;
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -349,6 +349,23 @@
   CHECK(second.answer.body != "other");
 }
 
+// Guards against a caller that gets such an answer, and against one that is
+// taken for an interim answer, after which the host waits until the deadline.
+TEST_CASE("an answer whose status is not from 100 to 599 is none") {
+  for (const std::string status : {"000", "001", "099", "600", "999", "20",
+                                   "2000", "+20", "-20", "2x0", ""}) {
+    for (const std::string rest :
+         {"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}) {
+      CAPTURE(status);
+      scripted_server server("HTTP/1.1 " + status +
+                             " Odd\r\nContent-Length: 0\r\n\r\n" + rest);
+      http_connection connection(server.address);
+      CHECK(connection.Send({"GET", "/", {}, ""}, kTimeout).failure ==
+            send_failure::kBadAnswer);
+    }
+  }
+}
+
 TEST_CASE("a refused connection counts as not sent") {
   http_connection connection({"127.0.0.1", 1});
   CHECK(connection.Send({"GET", "/", {}, ""}, kTimeout).failure ==
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -163,6 +163,11 @@
     const std::size_t parsed = co_await http::async_read_some(
         connection->stream, connection->buffer, parser, Resume(ec));
     size += parsed;
+    // The parser takes any three digits. Others are no status, and below 100
+    // they would pass for interim responses.
+    const unsigned status = parser.get().result_int();
+    if (!ec && parser.is_header_done() && (status < 100 || status > 599))
+      ec = http::error::bad_status;
     if (!ec && size > bounds.max_body + limits::kMaxServerFramingBytes)
       ec = http::error::body_limit;
     // The stream's own timeout does not interrupt a peer that always has more
