--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -37,6 +37,7 @@
           {{"bounds.probesPerS", "42"}},
           {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}},
           {{"limits.memoryMb", "512"}, {"limits.maxFds", "8192"}},
+          {{"bounds.revokeS", "5"}, {"bounds.strictRevocation", "true"}},
           {{"bootstrap", "true"}}};
 }
 
@@ -105,6 +106,7 @@
         values.insert(terms[part].begin(), terms[part].end());
     const entry_settings s = ReadFilled(FillTemplate(values));
     CHECK(s.has_moves == values.contains("bounds.exposeShare"));
+    CHECK(s.has_strict_revocation == values.contains("bounds.revokeS"));
     CHECK(s.is_first_start == values.contains("bootstrap"));
     CHECK(s.retry_allowance ==
           (values.contains("bounds.budgetSlack") ? 168 : 50));
@@ -113,6 +115,7 @@
     CHECK(s.max_descriptors == (values.contains("limits.maxFds") ? 8192 : 0));
     CHECK(DescribeMissingSettings(s).empty() ==
           (values.contains("bounds.drainS") &&
+           values.contains("bounds.revokeS") &&
            values.contains("bounds.budgetSlack") &&
            values.contains("bounds.probesPerS") &&
            values.contains("limits.maxFds") &&
@@ -129,7 +132,7 @@
   for (const char* name :
        {"expose-share", "expose-slack", "stop-s", "config-s", "drain-s",
         "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s",
-        "memory-mb", "max-fds"}) {
+        "revoke-s", "memory-mb", "max-fds"}) {
     CAPTURE(name);
     const std::string absent = WithoutLine(filled, name);
     REQUIRE(absent != filled);
