Say "no memory" only when a body found none

Cause: bytes that do not fit into a connection's buffer, such as a long chunk extension, gave the same error as a body without memory, and got 503 with Retry-After although a repeat fails again.

Change: the body records that it found no room; other errors keep their own status. traffic_test passes (47 cases); no case covers this.

--- a/packages/traffic/src/read_request.cc
+++ b/packages/traffic/src/read_request.cc
@@ -112,8 +112,7 @@
         },
         std::chrono::steady_clock::now());
     ec = co_await ReadBody(stream, buffer, parser);
-    const bool has_no_room = ec == http::error::buffer_overflow;
-    if (blocks->account().is_evicted() || has_no_room) {
+    if (blocks->account().is_evicted() || blocks->has_no_room()) {
       blocks->Release();
       co_return NoMemory();
     }
--- a/packages/traffic/src/request_body.h
+++ b/packages/traffic/src/request_body.h
@@ -47,6 +47,8 @@
   }
 
   memory_account& account() { return account_; }
+  // Whether an Append found no room.
+  bool has_no_room() const { return has_no_room_; }
   std::size_t size() const { return size_; }
   std::size_t block_count() const { return blocks_.size(); }
   std::string_view BlockAt(std::size_t i) const {
@@ -66,8 +68,10 @@
     std::size_t size = blocks_.empty() ? kFirstBlock : kBlock;
     if (expected_size_ > size_)
       size = std::min(kBlock, expected_size_ - size_);
-    if (!account_.Resize({reserved_ + size + sizeof(block)}, now))
+    if (!account_.Resize({reserved_ + size + sizeof(block)}, now)) {
+      has_no_room_ = true;
       return false;
+    }
     reserved_ += size + sizeof(block);
     blocks_.push_back({std::unique_ptr<char[]>(new char[size]), 0});
     free_ = size;
@@ -80,6 +84,7 @@
   std::size_t free_ = 0;
   std::size_t reserved_ = 0;
   std::size_t expected_size_ = 0;
+  bool has_no_room_ = false;
 };
 
 // The Body type of Beast for such a body.
