--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -41,6 +41,7 @@
            {"bounds.leaseS", "3"},
            {"bounds.requireFencing", "true"}},
           {{"bounds.exposeShare", "0.1"}, {"bounds.exposeSlack", "50"}},
+          {{"limits.memoryMb", "512"}, {"limits.maxFds", "8192"}},
           {{"bounds.revokeS", "5"}, {"bounds.strictRevocation", "true"}},
           {{"bootstrap", "true"}}};
 }
@@ -118,12 +119,15 @@
     CHECK(s.usage_window.has_value() == values.contains("bounds.windowS"));
     CHECK(s.require_fencing == values.contains("bounds.requireFencing"));
     CHECK(s.max_probe_rate == (values.contains("bounds.probesPerS") ? 42 : 60));
+    CHECK(s.memory_mb == (values.contains("limits.memoryMb") ? 512 : 160));
+    CHECK(s.max_descriptors == (values.contains("limits.maxFds") ? 8192 : 0));
     CHECK(DescribeMissingSettings(s).empty() ==
           (values.contains("bounds.drainS") &&
            values.contains("bounds.revokeS") &&
            values.contains("bounds.budgetSlack") &&
            values.contains("bounds.probesPerS") &&
            values.contains("bounds.windowS") &&
+           values.contains("limits.maxFds") &&
            values.contains("bounds.exposeShare")));
   }
 }
@@ -137,7 +141,8 @@
   for (const char* name :
        {"expose-share", "expose-slack", "stop-s", "config-s", "drain-s",
         "repeat-ratio", "repeat-window-s", "repeat-slack", "probes-per-s",
-        "usage-window-s", "usage-late-s", "lease-s", "revoke-s"}) {
+        "usage-window-s", "usage-late-s", "lease-s", "revoke-s", "memory-mb",
+        "max-fds"}) {
     CAPTURE(name);
     const std::string absent = WithoutLine(filled, name);
     REQUIRE(absent != filled);
@@ -166,9 +171,11 @@
                                   {"expose-share", "nan", "0 to 1"},
                                   {"probes-per-s", "0", "0.1 to 1e+06"},
                                   {"stop-s", "6x", "0.1 to 600"},
-                                  {"first-start", "maybe", "true or false"},
                                   {"require-fencing", "2", "true or false"},
-                                  {"usage-window-s", "0", "0.5 to 600"}}) {
+                                  {"usage-window-s", "0", "0.5 to 600"},
+                                  {"memory-mb", "8", "16 to 1e+06"},
+                                  {"max-fds", "-1", "96 to 1e+08"},
+                                  {"first-start", "maybe", "true or false"}}) {
     CAPTURE(invalid.name);
     const std::string text =
         WithoutLine(FillTemplate(HostValues()), invalid.name) + "\n" +
