Reserve slots for urgent requests in pools that routes share

Long, less urgent work filled the slots of a shared pool, and urgent requests waited for its end. Each host now measures its load on shared pools, makes a plan for each priority from the fleet's or its own load, and leaves a number of slots free. Simulated with 20 hosts and a burst of 2.6 times: see the test.

--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -4,6 +4,7 @@
 #ifndef DOTTERELLEAD_DISPATCH_H_
 #define DOTTERELLEAD_DISPATCH_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "dotterellead/catalog.h"
 #include "dotterellead/core.h"
+#include "dotterellead/pools.h"
 
 namespace dotterellead::dispatch {
 
@@ -152,6 +154,12 @@
   std::optional<milliseconds> retry_after;
 };
 
+// The load on shared pools that the hosts of the fleet reported, by pool and
+// data centre; an empty table has none.
+struct pool_view_changed {
+  pools::pool_table totals;
+};
+
 // ---- Effects
 
 // Probes the health and load of several servers concurrently. Ends with one
@@ -241,6 +249,31 @@
   milliseconds total{0};
 };
 
+// What this host knows of a pool that routes of different priority share.
+struct pool_status {
+  // Whether `load` comes from the fleet's totals, not from this host alone.
+  bool is_view_shared = false;
+  milliseconds age{0};
+  pools::pool_load load;
+  // Slots that the least urgent requests leave free, in the whole pool.
+  double reserved_slots = 0;
+};
+
+// This host's load on each shared pool, for the other hosts, and the state of
+// each for the metrics. Emitted every 0.5 s if there is a shared pool.
+struct pools_reported {
+  pools::pool_table own;
+  std::map<pool_id, pool_status> status;
+};
+
+// A less urgent request was rejected while capacity was reserved for, or used
+// by, more urgent ones.
+struct rejected_in_favour {
+  pool_id pool;
+  int priority = 0;
+  int favoured = 0;
+};
+
 // One line of the decision log.
 struct decision {
   std::string event;
@@ -263,6 +296,9 @@
   // Average number of probes per second that one server accepts from all hosts
   // together; from the operators' limits.
   double max_probe_rate = 60;
+  // Whether capacity is reserved in pools that routes of different priority
+  // share.
+  bool has_shared_pools = true;
   std::uint64_t seed = 1;
 };
 
@@ -278,6 +314,7 @@
                                move_share_changed,
                                live_hosts_changed,
                                crash_reported,
+                               pool_view_changed,
                                shutdown_started,
                                tick>;
   using effect = std::variant<probe_servers,
@@ -289,6 +326,8 @@
                               crash_detected,
                               version_observed,
                               request_completed,
+                              pools_reported,
+                              rejected_in_favour,
                               decision>;
 
   explicit dispatcher(dispatch_settings settings);
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -54,6 +54,9 @@
   if (IsSuccess(m)) {
     availability_.RecordSuccess(request.run());
     ServiceTimeOf(*request.route).AddSample(m.latency, request.load_at_send);
+    shared_pools_.RecordCompleted(request.pool, request.route->priority,
+                                  ServiceTimeOf(*request.route).value(),
+                                  now.steady);
   } else if (m.result == attempt_result::kNotConnected ||
              m.result == attempt_result::kWrongServer) {
     availability_.RecordUnreachable(request.run(), now.steady);
@@ -187,6 +190,7 @@
     rejection.retry_after = kRetryAtAnotherHost;
   else if (GuaranteesNotRun(reason) && reason != reject_reason::kNoRoute)
     rejection.retry_after = RetryAfter(request, now);
+  ReportFavoured(request, reason, now, out);
   const auto time_held =
       std::chrono::duration_cast<milliseconds>(now.steady - request.arrived_at);
   Log(out, "rejected",
@@ -206,6 +210,26 @@
   Finish(id, rejection, out);
 }
 
+void dispatcher::impl::ReportFavoured(const request_state& request,
+                                      reject_reason reason,
+                                      const timestamp& now,
+                                      effects& out) {
+  if (request.route == nullptr || reason != reject_reason::kNoCapacity)
+    return;
+  const int priority = request.route->priority;
+  shared_pools_.RecordRejected(request.pool, priority, now.steady);
+  const std::optional<int> favoured =
+      shared_pools_.PlanFor(request.pool, priority).favoured;
+  if (!request.is_held_back || !favoured)
+    return;
+  Log(out, "rejected-in-favour",
+      {{"request", request.caller_request_id},
+       {"pool", request.pool.value()},
+       {"priority", fmt::format("{}", priority)},
+       {"favoured", fmt::format("{}", *favoured)}});
+  out.emplace_back(rejected_in_favour{request.pool, priority, *favoured});
+}
+
 void dispatcher::impl::Finish(request_id id, effect outcome, effects& out) {
   requests_.erase(id);
   out.push_back(std::move(outcome));
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -58,7 +58,8 @@
       random_(static_cast<std::minstd_rand::result_type>(
           settings_.seed % 2'147'483'646 + 1)),
       retry_allowance_(settings_.retry_allowance, settings_.min_host_count),
-      cold_starts_(settings_.self) {}
+      cold_starts_(settings_.self),
+      shared_pools_(settings_.data_centre, settings_.has_shared_pools) {}
 
 void dispatcher::impl::Step(const message& m,
                             const timestamp& now,
@@ -77,6 +78,8 @@
   for (const auto& [id, request] : requests_)
     consider(request.phase == request_phase::kQueued ? request.queue_deadline
                                                      : request.deadline);
+  if (const auto report = shared_pools_.NextReport())
+    consider(*report);
   for (const auto& [pool, queue] : queues_)
     if (!queue.requests.empty() && !queue.probe_id.is_valid())
       consider(queue.next_probe_at);
@@ -99,6 +102,7 @@
            {"routes", fmt::format("{}", catalog_->config->routes.size())}});
   }
   availability_.UpdateServers(catalog_->servers, now.steady);
+  shared_pools_.SetCatalog(*catalog_, now.steady);
   RebuildServerOrder();
   UpdateProbeRate(now);
   ProcessDeferredRequests(now, out);
@@ -167,6 +171,7 @@
                           effects&) {
   cold_starts_.SetLiveHosts(m.live);
   retry_allowance_.RecordHostCount(m.live.size(), now.steady);
+  shared_pools_.RecordHostCount(m.live.size(), now.steady);
   local_host_count_ = m.local_host_count;
   data_centre_count_ = m.data_centre_count;
   if (catalog_) {
@@ -200,6 +205,12 @@
   poison_requests_.RecordCrash(m.fingerprint, now.steady);
 }
 
+void dispatcher::impl::On(const pool_view_changed& m,
+                          const timestamp& now,
+                          effects&) {
+  shared_pools_.SetTotals(m.totals, now.steady);
+}
+
 void dispatcher::impl::On(const shutdown_started& m,
                           const timestamp& now,
                           effects& out) {
@@ -222,6 +233,7 @@
 }
 
 void dispatcher::impl::On(const tick&, const timestamp& now, effects& out) {
+  shared_pools_.Report(now.steady, out);
   ProcessDeferredRequests(now, out);
   std::vector<request_id> due;
   for (const auto& [id, request] : requests_)
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -17,6 +17,7 @@
 #include "retry_allowance.h"
 #include "retry_budget.h"
 #include "server_availability.h"
+#include "shared_pools.h"
 #include "version_filter.h"
 
 namespace dotterellead::dispatch {
@@ -87,6 +88,8 @@
     // Whether an earlier, ended attempt may have run.
     bool earlier_attempt_may_have_run = false;
     bool is_caller_disconnected = false;
+    // Whether a free slot was left to more urgent requests.
+    bool is_held_back = false;
     std::set<server_id> tried_servers;
     // The server of the current attempt, and the load and latency that were
     // predicted for it.
@@ -113,6 +116,7 @@
   void On(const move_share_changed& m, const timestamp& now, effects& out);
   void On(const live_hosts_changed& m, const timestamp& now, effects& out);
   void On(const crash_reported& m, const timestamp& now, effects& out);
+  void On(const pool_view_changed& m, const timestamp& now, effects& out);
   void On(const shutdown_started& m, const timestamp& now, effects& out);
   void On(const tick& m, const timestamp& now, effects& out);
 
@@ -208,9 +212,14 @@
   std::uint32_t OwnAttemptsSince(const server_id& server,
                                  time_point probed_at) const;
   std::vector<candidate> WarmCandidates(
-      const request_state& request,
+      request_state& request,
       const std::map<server_id, timed_sample>& samples,
       const timestamp& now);
+  // Whether the server has a free slot for the request beyond the reserve for
+  // more urgent ones.
+  bool HasSlotFor(request_state& request,
+                  const catalog::backend_server& server,
+                  const load_report& load) const;
   bool TrySendToColdServer(request_id id,
                            request_state& request,
                            const std::map<server_id, timed_sample>& samples,
@@ -258,6 +267,11 @@
       const std::vector<const catalog::backend_server*>& servers,
       milliseconds timeout) const;
   milliseconds RetryAfter(const request_state& request, const timestamp& now);
+  // Logs that the request was rejected in favour of more urgent ones, if so.
+  void ReportFavoured(const request_state& request,
+                      reject_reason reason,
+                      const timestamp& now,
+                      effects& out);
   milliseconds AfterReturn(time_point returns_at, const timestamp& now);
 
   // Results (attempts.cc).
@@ -330,6 +344,7 @@
       recent_caller_timeouts_;
   server_availability availability_;
   cold_start_limiter cold_starts_;
+  shared_pools shared_pools_;
   // Set once this host is stopping.
   std::optional<time_point> shutdown_ends_at_;
 };
--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -275,6 +275,7 @@
                                     const timestamp& now) {
   probe_statistics& statistics = probe_statistics_[pool];
   statistics.Update(samples);
+  shared_pools_.RecordProbes(pool, samples, now.steady);
   for (const load_sample& sample : samples) {
     const bool is_unreachable = sample.result == probe_result::kUnreachable &&
                                 statistics.reports_load();
@@ -335,7 +336,7 @@
 }
 
 std::vector<candidate> dispatcher::impl::WarmCandidates(
-    const request_state& request,
+    request_state& request,
     const std::map<server_id, timed_sample>& samples,
     const timestamp& now) {
   std::vector<candidate> warm;
@@ -345,12 +346,23 @@
     if (!TryAcquireServer(request, sample.sample, *s, now, false))
       continue;
     candidate c = MakeCandidate(*s, sample);
-    if (HasFreeSlot(c.load))
+    if (HasSlotFor(request, *s, c.load))
       warm.push_back(std::move(c));
   }
   return warm;
 }
 
+bool dispatcher::impl::HasSlotFor(request_state& request,
+                                  const catalog::backend_server& server,
+                                  const load_report& load) const {
+  if (!HasFreeSlot(load))
+    return false;
+  const bool leaves_reserve =
+      shared_pools_.LeavesReserve(server, request.route->priority, load);
+  request.is_held_back = request.is_held_back || !leaves_reserve;
+  return leaves_reserve;
+}
+
 bool dispatcher::impl::TrySendToColdServer(
     request_id id,
     request_state& request,
@@ -365,7 +377,8 @@
     const candidate c = MakeCandidate(*s, sample);
     const milliseconds predicted =
         PredictLatency(c.load, ServiceTimeOf(*request.route).value());
-    if (!HasFreeSlot(c.load) || now.steady + predicted > request.deadline ||
+    if (!HasSlotFor(request, *s, c.load) ||
+        now.steady + predicted > request.deadline ||
         !TryAcquireServer(request, sample.sample, *s, now, true))
       continue;
     SendAttempt(id, request, c, predicted, now, out);
@@ -388,7 +401,11 @@
     SendAttempt(id, request, *chosen.best, chosen.predicted_latency, now, out);
     return;
   }
-  const bool has_unprobed_server = request.probe_rounds < kMaxProbeRounds &&
+  const int max_rounds =
+      shared_pools_.PlanFor(request.pool, request.route->priority).is_full
+          ? 1
+          : kMaxProbeRounds;
+  const bool has_unprobed_server = request.probe_rounds < max_rounds &&
                                    !UnsampledServers(request, 1, now).empty();
   if (has_unprobed_server)
     StartProbing(id, request, now, out);
@@ -445,39 +462,4 @@
   out.emplace_back(send_attempt{id, to.server, timeout, request.attempts});
 }
 
-milliseconds dispatcher::impl::RetryAfter(const request_state& request,
-                                          const timestamp& now) {
-  // A slot becomes free after about one service time. Retries are spread over
-  // that time, and come within a third of the caller's remaining time.
-  constexpr milliseconds kMinRetryAfter{50};
-  constexpr milliseconds kDefaultServiceTime{200};
-  const milliseconds service_time = request.route == nullptr
-                                        ? kDefaultServiceTime
-                                        : ServiceTimeOf(*request.route).value();
-  std::uniform_real_distribution<double> spread(0.5, 1.0);
-  const milliseconds pause(static_cast<std::int64_t>(
-      spread(random_) * static_cast<double>(service_time.count())));
-  if (request.route == nullptr)
-    return std::max(kMinRetryAfter, pause);
-  // While all servers are backing off, an earlier retry would be rejected too.
-  if (const auto returns_at =
-          EarliestReturn(request.pool, request.is_trial, now))
-    return AfterReturn(*returns_at, now) + pause;
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      request.caller_deadline - now.steady);
-  return std::max(kMinRetryAfter, std::min(pause, left / 3));
-}
-
-// The callers of the whole time until `returns_at` come back after it. They are
-// spread over half of that time, so that their rate is at most three times the
-// usual one.
-milliseconds dispatcher::impl::AfterReturn(time_point returns_at,
-                                           const timestamp& now) {
-  constexpr double kMaxSpreadFraction = 0.5;
-  std::uniform_real_distribution<double> spread(0, kMaxSpreadFraction);
-  const auto wait = std::chrono::ceil<milliseconds>(returns_at - now.steady);
-  return wait + milliseconds(static_cast<std::int64_t>(
-                    spread(random_) * static_cast<double>(wait.count())));
-}
-
 }  // namespace dotterellead::dispatch
--- a/packages/dispatch/src/queueing.cc
+++ b/packages/dispatch/src/queueing.cc
@@ -133,8 +133,10 @@
       continue;
     const request_state& request = it->second;
     // Requests that can still meet their target go first.
-    entries.push_back({WillMissTarget(request, now), request.route->priority,
-                       now.steady - request.arrived_at, id});
+    entries.push_back(
+        {WillMissTarget(request, now),
+         shared_pools_.QueuePriority(pool, request.route->priority),
+         now.steady - request.arrived_at, id});
   }
   std::sort(entries.begin(), entries.end());
   std::vector<request_id> ids;
@@ -245,4 +247,40 @@
   queue.next_probe_at = now.steady + queue.probe_interval;
 }
 
+milliseconds dispatcher::impl::RetryAfter(const request_state& request,
+                                          const timestamp& now) {
+  // A slot becomes free after about one service time. Retries are spread over
+  // that time, and come within a third of the caller's remaining time.
+  constexpr milliseconds kMinRetryAfter{50};
+  constexpr milliseconds kDefaultServiceTime{200};
+  const milliseconds service_time = request.route == nullptr
+                                        ? kDefaultServiceTime
+                                        : ServiceTimeOf(*request.route).value();
+  std::uniform_real_distribution<double> spread(0.5, 1.0);
+  const milliseconds pause(static_cast<std::int64_t>(
+      spread(random_) * shared_pools_.RetryFactor(request.pool) *
+      static_cast<double>(service_time.count())));
+  if (request.route == nullptr)
+    return std::max(kMinRetryAfter, pause);
+  // While all servers are backing off, an earlier retry would be rejected too.
+  if (const auto returns_at =
+          EarliestReturn(request.pool, request.is_trial, now))
+    return AfterReturn(*returns_at, now) + pause;
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      request.caller_deadline - now.steady);
+  return std::max(kMinRetryAfter, std::min(pause, left / 3));
+}
+
+// The callers of the whole time until `returns_at` come back after it. They are
+// spread over half of that time, so that their rate is at most three times the
+// usual one.
+milliseconds dispatcher::impl::AfterReturn(time_point returns_at,
+                                           const timestamp& now) {
+  constexpr double kMaxSpreadFraction = 0.5;
+  std::uniform_real_distribution<double> spread(0, kMaxSpreadFraction);
+  const auto wait = std::chrono::ceil<milliseconds>(returns_at - now.steady);
+  return wait + milliseconds(static_cast<std::int64_t>(
+                    spread(random_) * static_cast<double>(wait.count())));
+}
+
 }  // namespace dotterellead::dispatch
--- a/packages/dispatch/src/routing.cc
+++ b/packages/dispatch/src/routing.cc
@@ -90,6 +90,18 @@
       request.pool, settings_.retry_ratio, settings_.retry_window);
   budget->second.RecordRequest(now.steady);
   auto [it, inserted] = requests_.emplace(m.request, std::move(request));
+  const int priority = it->second.route->priority;
+  shared_pools_.RecordOffered(it->second.pool, priority,
+                              ServiceTimeOf(*it->second.route).value(),
+                              now.steady);
+  const double admitted =
+      shared_pools_.PlanFor(it->second.pool, priority).admitted_share;
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (admitted < 1 && draw(random_) >= admitted) {
+    it->second.is_held_back = true;
+    Reject(m.request, it->second, reject_reason::kNoCapacity, now, out);
+    return;
+  }
   StartProbing(m.request, it->second, now, out);
 }
 
--- a/packages/dispatch/tests/dispatch_simulation.h
+++ b/packages/dispatch/tests/dispatch_simulation.h
@@ -1,4 +1,4 @@
-// Runs a dispatcher against fake servers in virtual time.
+// Runs dispatchers of one or more hosts against fake servers in virtual time.
 #ifndef DOTTERELLEAD_DISPATCH_TESTS_DISPATCH_SIMULATION_H_
 #define DOTTERELLEAD_DISPATCH_TESTS_DISPATCH_SIMULATION_H_
 
@@ -33,12 +33,16 @@
   milliseconds latency{0};
   std::optional<milliseconds> retry_after;
   std::vector<server_id> sent_to;
+  // What the request asked for, and the host that it was sent to.
+  std::string route;
+  std::size_t host = 0;
 };
 
 class dispatch_simulation {
  public:
   explicit dispatch_simulation(dispatch_settings settings = DefaultSettings())
-      : dispatcher_(std::move(settings)) {
+      : settings_(std::move(settings)) {
+    hosts_.emplace_back(settings_);
     catalog.has_all_outcomes = true;
     auto config = std::make_shared<catalog::configuration>();
     config->version = catalog::config_version(1);
@@ -59,6 +63,21 @@
     return s;
   }
 
+  // Adds hosts until there are `count`, which then know of each other.
+  void AddHosts(std::size_t count) {
+    live_hosts_changed all;
+    all.live.push_back(settings_.self);
+    while (hosts_.size() < count) {
+      dispatch_settings s = settings_;
+      s.self = member_id("host-" + std::to_string(hosts_.size() + 1));
+      s.seed = hosts_.size() + 1;
+      all.live.push_back(s.self);
+      hosts_.emplace_back(s);
+    }
+    for (std::size_t host = 0; host < count; ++host)
+      StepHost(host, all);
+  }
+
   void AddServer(const std::string& id,
                  const std::string& dc = "dc-a",
                  const std::string& version = "v1") {
@@ -76,14 +95,19 @@
     catalog.servers.clear();
     for (const auto& [id, s] : servers)
       catalog.servers[id] = s.entry;
-    Step(catalog_changed{std::make_shared<catalog::snapshot>(catalog)});
+    const auto snapshot = std::make_shared<catalog::snapshot>(catalog);
+    for (std::size_t host = 0; host < hosts_.size(); ++host)
+      StepHost(host, catalog_changed{snapshot});
   }
 
   request_id SendRequest(const std::string& route,
                          milliseconds caller_timeout = milliseconds(1'500),
-                         std::uint64_t fingerprint = 1) {
+                         std::uint64_t fingerprint = 1,
+                         std::size_t host = 0) {
     const request_id id(++request_count_);
     arrived_at_[id] = now_.steady;
+    results[id].route = route;
+    results[id].host = host;
     request_arrived m;
     m.request = id;
     m.caller_request_id = "c" + std::to_string(request_count_);
@@ -91,7 +115,7 @@
     m.path = "/" + route + "/1";
     m.caller_timeout = caller_timeout;
     m.fingerprint = request_fingerprint(fingerprint);
-    Step(m);
+    StepHost(host, m);
     return id;
   }
 
@@ -106,7 +130,7 @@
     m.status = status;
     m.latency =
         std::chrono::duration_cast<microseconds>(now_.steady - sent_at_[id]);
-    Step(m);
+    StepHost(results[id].host, m);
   }
 
   // Passes on what a server says of itself, as of the run that is listed.
@@ -125,9 +149,12 @@
 
   void Disconnect(request_id id) { Step(caller_disconnected{id}); }
 
-  void Step(const dispatcher::message& m) {
+  void Step(const dispatcher::message& m) { StepHost(0, m); }
+
+  void StepHost(std::size_t host, const dispatcher::message& m) {
     std::vector<dispatcher::effect> out;
-    dispatcher_.Step(m, now_, out);
+    hosts_[host].Step(m, now_, out);
+    active_host_ = host;
     for (dispatcher::effect& e : out)
       std::visit([this](auto& typed) { Handle(typed); }, e);
   }
@@ -140,14 +167,18 @@
       now_.steady += kStep;
       RespondToProbes();
       FinishWork();
-      const std::optional<time_point> due = dispatcher_.NextDeadline();
-      if (due && *due <= now_.steady)
-        Step(tick{});
+      for (std::size_t host = 0; host < hosts_.size(); ++host) {
+        const std::optional<time_point> due = hosts_[host].NextDeadline();
+        if (due && *due <= now_.steady)
+          StepHost(host, tick{});
+      }
+      if (has_shared_view && now_.steady >= next_totals_)
+        DeliverTotals();
     }
   }
 
   time_point now() const { return now_.steady; }
-  std::size_t open_requests() const { return dispatcher_.open_requests(); }
+  std::size_t open_requests() const { return hosts_.front().open_requests(); }
 
   catalog::snapshot catalog;
   std::map<server_id, fake_server> servers;
@@ -157,6 +188,12 @@
   // Service time on an idle server at normal speed. 0: attempts end only by
   // EndAttempt.
   milliseconds service_time{0};
+  // Differs for these routes.
+  std::map<std::string, milliseconds> service_times;
+  // Whether the hosts get the sum of the loads that they report.
+  bool has_shared_view = false;
+  // Requests rejected in favour of more urgent ones.
+  int in_favour = 0;
   int max_running = 0;
   int crashes_reported = 0;
   int probes = 0;
@@ -166,6 +203,7 @@
   static constexpr milliseconds kProbeTime{3};
 
   struct probe_round {
+    std::size_t host;
     probe_servers probe;
     time_point due;
   };
@@ -200,6 +238,7 @@
   void RespondToProbes() {
     while (!probe_rounds_.empty() && probe_rounds_.front().due <= now_.steady) {
       const probe_servers probe = probe_rounds_.front().probe;
+      const std::size_t host = probe_rounds_.front().host;
       probe_rounds_.pop_front();
       probes_completed completed{probe.request, {}};
       for (const server_ref& ref : probe.servers) {
@@ -225,7 +264,7 @@
         }
         completed.samples.push_back(sample);
       }
-      Step(completed);
+      StepHost(host, completed);
     }
   }
 
@@ -245,7 +284,7 @@
   }
 
   void Handle(probe_servers& e) {
-    probe_rounds_.push_back({e, now_.steady + kProbeTime});
+    probe_rounds_.push_back({active_host_, e, now_.steady + kProbeTime});
   }
   void Handle(send_attempt& e) {
     results[e.request].sent_to.push_back(e.server.id);
@@ -253,15 +292,19 @@
     fake_server& s = servers[e.server.id];
     ++s.running;
     max_running = std::max(max_running, s.running);
-    if (service_time > milliseconds(0)) {
+    const auto own_time = service_times.find(results[e.request].route);
+    const milliseconds time =
+        own_time == service_times.end() ? service_time : own_time->second;
+    if (time > milliseconds(0)) {
+      const int slots = static_cast<int>(s.entry.slots);
       // The last free slot is slower, and so are queued requests.
-      const double crowd = s.running > 1 ? 1.7 : 1;
-      const double queue = s.running > 2 ? 2 : 1;
+      const double crowd = s.running >= slots ? 1.7 : 1;
+      const double queue = s.running > slots ? 2 : 1;
       working_.push_back(
           {e.request, e.server.id,
            now_.steady + milliseconds(static_cast<std::int64_t>(
-                             static_cast<double>(service_time.count()) * crowd *
-                             queue * s.slowdown_percent / 100))});
+                             static_cast<double>(time.count()) * crowd * queue *
+                             s.slowdown_percent / 100))});
     }
   }
   void Handle(deliver_response& e) {
@@ -278,14 +321,42 @@
   void Handle(crash_detected&) { ++crashes_reported; }
   void Handle(version_observed&) {}
   void Handle(request_completed&) {}
+  void Handle(pools_reported& e) {
+    for (auto& [key, load] : e.own)
+      reported_[active_host_][key] = load;
+  }
+  void Handle(rejected_in_favour&) { ++in_favour; }
   void Handle(decision&) {}
 
+  // As the tree does: the loads are summed and take a second to all hosts.
+  void DeliverTotals() {
+    next_totals_ = now_.steady + milliseconds(500);
+    pools::pool_table totals;
+    for (const auto& [host, table] : reported_)
+      for (const auto& [key, load] : table)
+        totals[key].Add(load);
+    for (auto& [key, load] : totals)
+      load.age = milliseconds(1'000);
+    delayed_totals_.push_back(std::move(totals));
+    if (delayed_totals_.size() < 3)
+      return;
+    for (std::size_t host = 0; host < hosts_.size(); ++host)
+      StepHost(host, pool_view_changed{delayed_totals_.front()});
+    delayed_totals_.pop_front();
+  }
+
   milliseconds Since(request_id id) {
     return std::chrono::duration_cast<milliseconds>(now_.steady -
                                                     arrived_at_[id]);
   }
 
-  dispatcher dispatcher_;
+  dispatch_settings settings_;
+  std::vector<dispatcher> hosts_;
+  // The host whose effects are handled.
+  std::size_t active_host_ = 0;
+  std::map<std::size_t, pools::pool_table> reported_;
+  std::deque<pools::pool_table> delayed_totals_;
+  time_point next_totals_{};
   timestamp now_{time_point(std::chrono::hours(1)), {1'000'000}};
   std::uint64_t request_count_ = 0;
   std::map<request_id, time_point> arrived_at_;
--- a/packages/dispatch/tests/overload_test.cc
+++ b/packages/dispatch/tests/overload_test.cc
@@ -281,3 +281,121 @@
   auto got = SendLoad(w, kCapacity * 0.5, milliseconds(10'000));
   CHECK(got["read"].share_in_target() > 0.95);
 }
+
+namespace {
+
+// Many hosts with uneven callers send two kinds of work to the same servers.
+// `burst` is the factor of the less urgent kind's usual rate, `unfair` the part
+// of it that reaches one host.
+struct shared_load {
+  double burst = 1;
+  double unfair = 0;
+  bool is_shared = true;
+};
+
+struct kind_results {
+  int requests = 0;
+  int served = 0;
+  double ratio() const { return static_cast<double>(served) / requests; }
+};
+
+struct shared_results {
+  kind_results urgent;
+  kind_results other;
+  int in_favour = 0;
+  int probes = 0;
+  int served() const { return urgent.served + other.served; }
+  double ratio() const {
+    return static_cast<double>(served()) / (urgent.requests + other.requests);
+  }
+};
+
+constexpr std::size_t kHosts = 20;
+constexpr int kSharedServers = 20;
+constexpr milliseconds kUrgentTarget{250};
+constexpr milliseconds kOtherTarget{3'000};
+
+shared_results PlayShared(const shared_load& load) {
+  dispatch_settings settings = dispatch_simulation::DefaultSettings();
+  settings.has_shared_pools = load.is_shared;
+  // The servers of other pools add to the probes that the hosts may send.
+  settings.max_probe_rate = 240;
+  dispatch_simulation w(settings);
+  for (int i = 0; i < kSharedServers; ++i) {
+    const std::string name = "s" + std::to_string(i);
+    w.AddServer(name);
+    w.servers[server_id(name)].entry.slots = 6;
+  }
+  auto config = std::make_shared<catalog::configuration>(*w.catalog.config);
+  for (catalog::route& r : config->routes) {
+    const bool is_urgent = r.name.value() == "pay";
+    r.latency_target = is_urgent ? kUrgentTarget : kOtherTarget;
+    r.timeout = r.latency_target * 2;
+  }
+  w.catalog.config = config;
+  w.service_times = {{"pay", milliseconds(89)}, {"read", milliseconds(560)}};
+  w.has_shared_view = load.is_shared;
+  w.AddHosts(kHosts);
+  w.Publish();
+  constexpr double kUrgentRate = 80;
+  constexpr double kOtherRate = 110;
+  std::minstd_rand random(7);
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::vector<request_id> ids;
+  constexpr milliseconds kStart{8'000};
+  constexpr milliseconds kEnd{28'000};
+  const time_point began = w.now();
+  while (w.now() < began + kEnd) {
+    const bool is_burst = w.now() >= began + kStart;
+    const double other = kOtherRate * (is_burst ? load.burst : 1);
+    for (const bool is_urgent : {true, false}) {
+      if (draw(random) >= (is_urgent ? kUrgentRate : other) / 1'000)
+        continue;
+      // The first hosts have more callers.
+      const double place = draw(random) * draw(random);
+      const bool is_unfair = !is_urgent && draw(random) < load.unfair;
+      const request_id id = w.SendRequest(
+          is_urgent ? "pay" : "read",
+          (is_urgent ? kUrgentTarget : kOtherTarget) * 2, 1,
+          is_unfair ? 0 : static_cast<std::size_t>(place * kHosts));
+      if (is_burst)
+        ids.push_back(id);
+    }
+    w.Run(milliseconds(1));
+  }
+  w.Run(milliseconds(6'000));
+  shared_results got;
+  for (const request_id id : ids) {
+    const request_result& r = w.results[id];
+    const bool is_urgent = r.route == "pay";
+    kind_results& kind = is_urgent ? got.urgent : got.other;
+    ++kind.requests;
+    kind.served += r.is_delivered && r.latency <= (is_urgent ? kUrgentTarget
+                                                             : kOtherTarget)
+                       ? 1
+                       : 0;
+  }
+  got.in_favour = w.in_favour;
+  got.probes = w.probes;
+  return got;
+}
+
+}  // namespace
+
+TEST_CASE("a burst of long, less urgent work does not reject urgent work") {
+  for (const double unfair : {0.0, 0.6}) {
+    CAPTURE(unfair);
+    const shared_results with = PlayShared({2.6, unfair, true});
+    const shared_results without = PlayShared({2.6, unfair, false});
+    MESSAGE("urgent " << with.urgent.ratio() << " other " << with.other.ratio()
+                      << " sum " << with.served() << " probes " << with.probes
+                      << "; without: urgent " << without.urgent.ratio()
+                      << " other " << without.other.ratio() << " sum "
+                      << without.served() << " probes " << without.probes
+                      << "; in favour " << with.in_favour);
+    CHECK(with.urgent.ratio() >= with.other.ratio());
+    CHECK(with.other.ratio() >= 0.25 * with.ratio());
+    CHECK(with.served() >= without.served());
+    CHECK(with.in_favour > 0);
+  }
+}
