--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -16,6 +16,7 @@
 #include "dotterellead/catalog.h"
 #include "dotterellead/core.h"
 #include "dotterellead/moves.h"
+#include "dotterellead/pools.h"
 
 namespace dotterellead::fleet {
 
@@ -124,6 +125,8 @@
   std::array<stream_updates, kStreams> updates;
   moves::counter_table counters;
   std::vector<crash_event> crash_events;
+  // Loads of shared pools, of the sender and its descendants, that changed.
+  pools::pool_table pools;
   // Versions of the lists that the sender received last; 0 for none.
   std::uint64_t hosts_version = 0;
   std::uint64_t stages_version = 0;
@@ -146,6 +149,8 @@
   std::uint64_t stages_version = 0;
   std::vector<crash_event> crash_events;
   std::uint64_t events_version = 0;
+  // Loads of shared pools, of all hosts, that changed.
+  pools::pool_table pools;
 };
 
 // JSON encoding of the messages. Decoding throws protocol_error if the text is
@@ -184,6 +189,8 @@
   std::function<void(std::vector<moves::stage>)> on_stages;
   std::function<void(moves::counter_table)> on_counters;
   std::function<void(request_fingerprint)> on_crash;
+  // The loads of shared pools of all hosts, with their age. May be absent.
+  std::function<void(pools::pool_table)> on_pools;
 };
 
 // Runs the host's part of the tree on its own thread. All methods but Start and
@@ -205,6 +212,9 @@
   void ReportCounters(moves::counter_table counters);
   // Distributes a server crash to all other hosts.
   void ReportCrash(request_fingerprint fingerprint);
+  // Replaces this host's part of the loads of shared pools. Answered with
+  // on_pools.
+  void ReportPools(pools::pool_table own);
 
  private:
   class impl;
--- a/packages/fleet/src/children.cc
+++ b/packages/fleet/src/children.cc
@@ -61,6 +61,7 @@
   if (request.is_inquiry)
     return;
   children_[request.self.name] = {request.self, request.descendants, now};
+  pools_.RecordChild(request.self.name, request.pools, now);
   HandleUpdates(request.updates);
   StartPushToParent();
   if (!request.counters.empty())
@@ -97,8 +98,7 @@
   }
 }
 
-sync_response fleet_duty::impl::MakeResponse(
-    const sync_request& request) const {
+sync_response fleet_duty::impl::MakeResponse(const sync_request& request) {
   sync_response response;
   response.self = settings_.self;
   if (request.hosts_version != hosts_version_)
@@ -115,6 +115,8 @@
   response.stages_version = stages_version_;
   response.crash_events = CrashEventsSince(request.events_version);
   response.events_version = events_version_;
+  response.pools =
+      pools_.RowsFor(request.self.name, pools_.Totals(is_root_, now), now);
   return response;
 }
 
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <cmath>
+
 #include "dotterellead/fleet.h"
 #include "dotterellead/json.h"
 
@@ -236,6 +239,69 @@
   return streams;
 }
 
+// Rates and slots are sent in tenths: [pool, data centre, hosts, age, free
+// slots, probed slots, [priority, offered, completed, rejected, offered work,
+// completed work], ...].
+constexpr double kTenths = 10;
+
+Value FromRate(double rate) {
+  return Number(static_cast<std::uint64_t>(std::lround(rate * kTenths)));
+}
+
+double ToRate(const Value& v) {
+  constexpr std::uint64_t kMaxRate = 1'000'000'000;
+  return static_cast<double>(std::min(Count(v), kMaxRate)) / kTenths;
+}
+
+Value FromPools(const pools::pool_table& table) {
+  Value rows(Json::arrayValue);
+  for (const auto& [key, load] : table) {
+    Value row(Json::arrayValue);
+    row.append(key.pool.value());
+    row.append(key.data_centre.value());
+    row.append(Number(load.host_count));
+    row.append(Number(static_cast<std::uint64_t>(load.age.count())));
+    row.append(FromRate(load.free_slots));
+    row.append(FromRate(load.probed_slots));
+    for (const auto& [priority, l] : load.by_priority) {
+      Value part(Json::arrayValue);
+      part.append(priority);
+      for (const double rate : {l.offered, l.completed, l.rejected,
+                                l.offered_work, l.completed_work})
+        part.append(FromRate(rate));
+      row.append(part);
+    }
+    rows.append(row);
+  }
+  return rows;
+}
+
+pools::pool_table ToPools(const Value& rows) {
+  constexpr Json::ArrayIndex kFixed = 6;
+  constexpr std::uint64_t kMaxHosts = 100'000;
+  pools::pool_table table;
+  for (const Value& row : ListOrNull(rows)) {
+    if (!row.isArray() || row.size() < kFixed)
+      Fail("a pool as [pool, data centre, hosts, age, free, probed, ...]");
+    pools::pool_load load;
+    load.host_count = std::min(Count(row[2]), kMaxHosts);
+    load.age = Millis(row[3]);
+    load.free_slots = ToRate(row[4]);
+    load.probed_slots = ToRate(row[5]);
+    for (Json::ArrayIndex i = kFixed; i < row.size(); ++i) {
+      const Value& part = row[i];
+      if (!part.isArray() || part.size() != 6 || !part[0].isInt())
+        Fail("a priority as [priority, offered, completed, rejected, ...]");
+      load.by_priority[part[0].asInt()] = {ToRate(part[1]), ToRate(part[2]),
+                                           ToRate(part[3]), ToRate(part[4]),
+                                           ToRate(part[5])};
+    }
+    table[{pool_id(Text(row[0])), data_centre_id(Text(row[1]))}] =
+        std::move(load);
+  }
+  return table;
+}
+
 bool IsEmpty(const std::array<stream_updates, kStreams>& streams) {
   return std::none_of(streams.begin(), streams.end(),
                       [](const stream_updates& part) { return part.age; });
@@ -256,6 +322,8 @@
     json["tallies"] = FromCounters(request.counters);
   if (!request.crash_events.empty())
     json["events"] = FromEvents(request.crash_events);
+  if (!request.pools.empty())
+    json["pools"] = FromPools(request.pools);
   json["hosts"] = Number(request.hosts_version);
   json["stages"] = Number(request.stages_version);
   json["seen"] = Number(request.events_version);
@@ -278,6 +346,7 @@
   request.updates = ToUpdates(MemberOrNull(json, "news"));
   request.counters = ToCounters(MemberOrNull(json, "tallies"));
   request.crash_events = ToEvents(MemberOrNull(json, "events"));
+  request.pools = ToPools(MemberOrNull(json, "pools"));
   request.hosts_version = Count(MemberOrNull(json, "hosts"));
   request.stages_version = Count(MemberOrNull(json, "stages"));
   request.events_version = Count(MemberOrNull(json, "seen"));
@@ -300,6 +369,8 @@
   if (!response.crash_events.empty())
     json["events"] = FromEvents(response.crash_events);
   json["events_version"] = Number(response.events_version);
+  if (!response.pools.empty())
+    json["pools"] = FromPools(response.pools);
   return FormatJson(json);
 }
 
@@ -315,6 +386,7 @@
     response.stages = ToStages(MemberOrNull(json, "stages"));
   response.stages_version = Count(MemberOrNull(json, "stages_version"));
   response.crash_events = ToEvents(MemberOrNull(json, "events"));
+  response.pools = ToPools(MemberOrNull(json, "pools"));
   response.events_version = Count(MemberOrNull(json, "events_version"));
   return response;
 }
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -53,26 +53,32 @@
 }
 
 void fleet_duty::impl::HandleCommand(command& c) {
-  std::visit(overloaded{[this](update_batch& batch) {
-                          ApplyUpdates(batch);
-                          StartPushToParent();
-                        },
-                        [this](std::vector<moves::stage>& stages) {
-                          stages_ = std::move(stages);
-                          stages_version_ = VersionOf(stages_);
-                          WakeWaiters();
-                        },
-                        [this](report_counters& t) {
-                          for (const auto& [key, counters] : t.counters)
-                            counters_[key].Add(counters);
-                        },
-                        [this](report_crash& seen) {
-                          AddCrashEvent(
-                              {settings_.self.name, ++own_event_count_,
-                               settings_.incarnation, seen.fingerprint},
-                              false);
-                        }},
-             c);
+  std::visit(
+      overloaded{[this](update_batch& batch) {
+                   ApplyUpdates(batch);
+                   StartPushToParent();
+                 },
+                 [this](std::vector<moves::stage>& stages) {
+                   stages_ = std::move(stages);
+                   stages_version_ = VersionOf(stages_);
+                   WakeWaiters();
+                 },
+                 [this](report_counters& t) {
+                   for (const auto& [key, counters] : t.counters)
+                     counters_[key].Add(counters);
+                 },
+                 [this](report_crash& seen) {
+                   AddCrashEvent({settings_.self.name, ++own_event_count_,
+                                  settings_.incarnation, seen.fingerprint},
+                                 false);
+                 },
+                 [this](report_pools& report) {
+                   const time_point now = std::chrono::steady_clock::now();
+                   pools_.SetOwn(std::move(report.own), now);
+                   if (callbacks_.on_pools)
+                     callbacks_.on_pools(pools_.Totals(is_root_, now));
+                 }},
+      c);
 }
 
 void fleet_duty::impl::ApplyUpdates(const update_batch& batch) {
@@ -141,5 +147,8 @@
 void fleet_duty::ReportCrash(request_fingerprint fingerprint) {
   impl_->Push(report_crash{fingerprint});
 }
+void fleet_duty::ReportPools(pools::pool_table own) {
+  impl_->Push(report_pools{std::move(own)});
+}
 
 }  // namespace dotterellead::fleet
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -11,6 +11,7 @@
 #include "dotterellead/mailbox.h"
 #include "dotterellead/spawn.h"
 #include "host_directory.h"
+#include "pool_exchange.h"
 
 namespace dotterellead::fleet {
 
@@ -51,10 +52,14 @@
 struct report_counters {
   moves::counter_table counters;
 };
+struct report_pools {
+  pools::pool_table own;
+};
 using command = std::variant<update_batch,
                              std::vector<moves::stage>,
                              report_counters,
-                             report_crash>;
+                             report_crash,
+                             report_pools>;
 
 // Version of a list, derived from a hash of its contents. Fits into a JSON
 // number without loss.
@@ -133,7 +138,7 @@
 
   task<> WaitForChanges(const sync_request& request);
 
-  sync_response MakeResponse(const sync_request& request) const;
+  sync_response MakeResponse(const sync_request& request);
 
   stream_updates UpdatesSince(stream source,
                               log_offset end_offset,
@@ -223,6 +228,7 @@
   std::vector<host_info> live_hosts_;
   std::uint64_t hosts_version_ = 0;
   bool is_root_ = false;
+  pool_exchange pools_;
 
   std::unique_ptr<control_client> parent_connection_;
   // For updates that cannot wait until `parent_connection_` is free.
--- a/packages/fleet/src/parent.cc
+++ b/packages/fleet/src/parent.cc
@@ -35,6 +35,7 @@
 void fleet_duty::impl::StartParent(const host_info& host) {
   parent_connection_ = std::make_unique<control_client>(io_, host.address);
   parent_ = host;
+  pools_.StartParent();
   parent_complete_at_.fill(std::chrono::steady_clock::now());
   parent_end_offsets_.fill(log_offset());
   parent_events_version_ = 0;
@@ -208,6 +209,7 @@
           UpdatesSince(kAllStreams[i], parent_end_offsets_[i], now);
   request.counters = std::exchange(counters_, {});
   request.crash_events = std::exchange(unreported_crashes_, {});
+  request.pools = pools_.RowsFor(parent_.name, pools_.Subtree(now), now);
   request.hosts_version = parent_hosts_version_;
   request.stages_version = parent_stages_version_;
   request.events_version = parent_events_version_;
@@ -234,6 +236,7 @@
 
 void fleet_duty::impl::HandleSyncResponse(const sync_response& response) {
   const time_point now = std::chrono::steady_clock::now();
+  pools_.RecordParent(response.pools, now);
   for (std::size_t i = 0; i < kStreams; ++i) {
     parent_end_offsets_[i] = response.updates[i].end_offset;
     parent_complete_at_[i] =
--- a/packages/fleet/tests/codec_fuzz_test.cc
+++ b/packages/fleet/tests/codec_fuzz_test.cc
@@ -24,6 +24,7 @@
       10, 3};
   r.crash_events = {
       {member_id("x"), 4, incarnation_id(77), request_fingerprint(5)}};
+  r.pools[{pool_id("p"), data_centre_id("z")}].by_priority[2] = {1, 2, 3, 4, 5};
   r.max_wait = milliseconds(400);
   return r;
 }
@@ -39,6 +40,7 @@
   s.order = log_offset(9);
   a.stages = {s};
   a.crash_events = FullRequest().crash_events;
+  a.pools = FullRequest().pools;
   return a;
 }
 
--- a/packages/fleet/tests/external_names_test.cc
+++ b/packages/fleet/tests/external_names_test.cc
@@ -19,6 +19,7 @@
                     catalog::route_name("r")}] = {1, 0};
   request.crash_events = {
       {member_id("x"), 4, incarnation_id(77), request_fingerprint(5)}};
+  request.pools[{pool_id("p"), data_centre_id("z")}].by_priority[0] = {1};
   request.is_inquiry = true;
   sync_response response;
   response.self = request.self;
