--- a/packages/fleet/tests/fleet_test.cc
+++ b/packages/fleet/tests/fleet_test.cc
@@ -55,6 +55,12 @@
     callbacks.on_crash = [this](request_fingerprint f) {
       crash_fingerprint = f.value();
     };
+    callbacks.on_pools = [this](const pools::pool_table& totals) {
+      std::size_t hosts = 0;
+      for (const auto& [key, load] : totals)
+        hosts += load.host_count;
+      reporting = hosts;
+    };
     duty = std::make_unique<fleet_duty>(settings, std::move(callbacks));
     duty->Start();
   }
@@ -78,6 +84,8 @@
   std::atomic<std::uint64_t> attempts = 0;
   std::atomic<std::uint64_t> crash_fingerprint = 0;
   std::atomic<bool> is_root = false;
+  // Hosts in the totals of shared pools.
+  std::atomic<std::size_t> reporting = 0;
   std::unique_ptr<fleet_duty> duty;
 };
 
@@ -377,3 +385,24 @@
   constexpr milliseconds kSequentialTime{600};
   CHECK(std::chrono::steady_clock::now() - started < kSequentialTime);
 }
+
+// Guards against totals that miss a data centre or do not reach its hosts.
+TEST_CASE("each host gets the loads of shared pools of all hosts") {
+  const std::vector<catalog::endpoint> seeds = {{0x7f000001, 23451},
+                                                {0x7f000001, 23452}};
+  fleet_host root("a1", "a", 23451, seeds);
+  fleet_host head("b1", "b", 23452, seeds);
+  fleet_host leaf("b2", "b", 23453, seeds);
+  pools::pool_load load;
+  load.by_priority[0].offered = 5;
+  load.host_count = 1;
+  const auto report = [&](fleet_host& host, const char* dc) {
+    host.duty->ReportPools({{{pool_id("p"), data_centre_id(dc)}, load}});
+  };
+  CHECK(Within(kTimeout, [&] {
+    report(root, "a");
+    report(head, "b");
+    report(leaf, "b");
+    return root.reporting == 3 && head.reporting == 3 && leaf.reporting == 3;
+  }));
+}
