--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/core.h>
 
+#include <cmath>
 #include <random>
 #include <set>
 
@@ -151,6 +152,9 @@
   callbacks.on_crash = [this](request_fingerprint fingerprint) {
     Post(*dispatcher_, dispatch::crash_reported{fingerprint});
   };
+  callbacks.on_pools = [this](pools::pool_table totals) {
+    Post(*dispatcher_, dispatch::pool_view_changed{std::move(totals)});
+  };
   fleet_ =
       std::make_unique<fleet::fleet_duty>(std::move(f), std::move(callbacks));
 }
@@ -223,11 +227,35 @@
     one[{observed->pool, observed->order, observed->is_target,
          observed->route}] = {1, observed->is_bad ? 1U : 0U};
     Post(*moves_, moves::attempts_counted{std::move(one)});
+  } else if (auto* report = std::get_if<dispatch::pools_reported>(&effect)) {
+    ReportPools(*report);
+  } else if (const auto* rejected =
+                 std::get_if<dispatch::rejected_in_favour>(&effect)) {
+    ++rejected_in_favour_[rejected->pool];
   } else {
     traffic_->Execute(std::move(effect));
   }
 }
 
+void entry_host::ReportPools(dispatch::pools_reported& report) {
+  for (const auto& [pool, status] : report.status) {
+    const auto set = [&](std::string_view name, double value) {
+      statistics_.SetPoolGauge(name, pool.value(),
+                               static_cast<std::uint64_t>(value));
+    };
+    constexpr double kMillis = 1'000;
+    const pools::priority_load all = status.load.Total();
+    set("pool_view_shared", status.is_view_shared ? 1 : 0);
+    set("pool_view_age_ms", static_cast<double>(status.age.count()));
+    set("pool_offered_work_ms", all.offered_work * kMillis);
+    set("pool_completed_work_ms", all.completed_work * kMillis);
+    set("pool_reserved_slots", std::ceil(status.reserved_slots));
+    set("pool_rejected_in_favour_total",
+        static_cast<double>(rejected_in_favour_[pool]));
+  }
+  fleet_->ReportPools(std::move(report.own));
+}
+
 void entry_host::Execute(moves::move_machine::effect& effect) {
   std::visit(
       overloaded{[this](moves::stages_changed& changed) {
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -3,6 +3,7 @@
 #define APPS_ENTRY_ENTRY_HOST_H_
 
 #include <atomic>
+#include <map>
 #include <memory>
 
 #include "adapter/adapter.h"
@@ -32,6 +33,8 @@
  private:
   void HandleCatalog(catalog::snapshot_ptr snapshot);
   void Execute(dispatch::dispatcher::effect& effect);
+  // Passes this host's load of shared pools on, and sets the metrics.
+  void ReportPools(dispatch::pools_reported& report);
   void Execute(moves::move_machine::effect& effect);
   std::string MetricsText();
   void MakeDispatcher();
@@ -45,6 +48,8 @@
   std::atomic<bool> has_config_ = false;
   std::atomic<bool> is_draining_ = false;
   statistics::request_statistics statistics_;
+  // Requests rejected in favour of more urgent ones; used by dispatch only.
+  std::map<pool_id, std::uint64_t> rejected_in_favour_;
   std::unique_ptr<traffic::traffic_service> traffic_;
   std::unique_ptr<duty<dispatch::dispatcher>> dispatcher_;
   std::unique_ptr<duty<moves::move_machine>> moves_;
--- a/packages/statistics/include/dotterellead/statistics.h
+++ b/packages/statistics/include/dotterellead/statistics.h
@@ -40,6 +40,10 @@
   void Record(const request_record& record);
   // Sets a value that another component counts, such as open connections.
   void SetGauge(std::string_view name, std::uint64_t value);
+  // Sets a value of one pool.
+  void SetPoolGauge(std::string_view name,
+                    const std::string& pool,
+                    std::uint64_t value);
   // Ends the current interval and starts the next.
   void StartInterval();
   // The last complete interval.
--- a/packages/statistics/src/request_statistics.cc
+++ b/packages/statistics/src/request_statistics.cc
@@ -34,6 +34,8 @@
 
 class request_statistics::impl {
  public:
+  using by_pool = std::map<std::string, std::uint64_t>;
+
   void Record(const request_record& record) {
     std::lock_guard lock(mutex_);
     const bool is_known = classes_.contains(record.request_class);
@@ -59,6 +61,17 @@
     gauges_[std::string(name)] = value;
   }
 
+  void SetPoolGauge(std::string_view name,
+                    const std::string& pool,
+                    std::uint64_t value) {
+    std::lock_guard lock(mutex_);
+    auto gauge = pool_gauges_.find(name);
+    if (gauge == pool_gauges_.end())
+      gauge = pool_gauges_.emplace(std::string(name), by_pool()).first;
+    if (gauge->second.contains(pool) || gauge->second.size() < kMaxClasses)
+      gauge->second[pool] = value;
+  }
+
   void StartInterval() {
     std::lock_guard lock(mutex_);
     last_ = std::exchange(current_, {});
@@ -89,6 +102,12 @@
     for (const auto& [name, value] : gauges_)
       text += fmt::format(
           "# TYPE dotterellead_{0} gauge\ndotterellead_{0} {1}\n", name, value);
+    for (const auto& [name, values] : pool_gauges_) {
+      text += fmt::format("# TYPE dotterellead_{} gauge\n", name);
+      for (const auto& [pool, value] : values)
+        text += fmt::format("dotterellead_{}{{pool=\"{}\"}} {}\n", name, pool,
+                            value);
+    }
     return text;
   }
 
@@ -115,6 +134,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, class_counters> classes_;
   std::map<std::string, std::uint64_t> gauges_;
+  std::map<std::string, by_pool, std::less<>> pool_gauges_;
   interval_counters current_;
   interval_counters last_;
 };
@@ -128,6 +148,11 @@
 void request_statistics::SetGauge(std::string_view name, std::uint64_t value) {
   impl_->SetGauge(name, value);
 }
+void request_statistics::SetPoolGauge(std::string_view name,
+                                      const std::string& pool,
+                                      std::uint64_t value) {
+  impl_->SetPoolGauge(name, pool, value);
+}
 void request_statistics::StartInterval() {
   impl_->StartInterval();
 }
