--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -358,7 +358,7 @@
   if (!HasFreeSlot(load))
     return false;
   const bool leaves_reserve =
-      shared_pools_.LeavesReserve(server, request.route->priority, load);
+      shared_pools_.LeavesReserve(server, request.priority, load);
   request.is_held_back = request.is_held_back || !leaves_reserve;
   return leaves_reserve;
 }
@@ -402,7 +402,7 @@
     return;
   }
   const int max_rounds =
-      shared_pools_.PlanFor(request.pool, request.route->priority).is_full
+      shared_pools_.PlanFor(request.pool, request.priority).is_full
           ? 1
           : kMaxProbeRounds;
   const bool has_unprobed_server = request.probe_rounds < max_rounds &&
@@ -433,6 +433,10 @@
            now, out);
     return;
   }
+  const std::optional<customer_access::decision> access =
+      CheckAccess(id, request, now, out);
+  if (!access)
+    return;
   request.phase = request_phase::kSent;
   request.server = to.server.id;
   request.server_started_at = to.server.started_at;
@@ -446,6 +450,8 @@
     attempts.pop_front();
   attempts.push_back(now.steady);
   ++request.attempts;
+  if (request.attempts == 1)
+    shares_.RecordSend(request.customer, now.steady);
   Log(out, "placed",
       {{"request", request.caller_request_id},
        {"route", request.route->name.value()},
@@ -459,7 +465,8 @@
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", timeout.count())},
        {"config", fmt::format("{}", request.config->version.value())}});
-  out.emplace_back(send_attempt{id, to.server, timeout, request.attempts});
+  out.emplace_back(send_attempt{id, to.server, timeout, request.attempts,
+                                access->header, access->valid_until});
 }
 
 }  // namespace dotterellead::dispatch
--- a/packages/fleet/src/parent.cc
+++ b/packages/fleet/src/parent.cc
@@ -215,6 +215,7 @@
   request.events_version = parent_events_version_;
   request.max_wait = max_wait;
   const std::string body = EncodeRequest(request);
+  const boot_time requested_at = boot_clock::now();
   const control_response response = co_await connection.Send(
       http::verb::post, path_, body, max_wait + Scaled(kSyncResponseMargin));
   if (response.status != kOk) {
@@ -225,7 +226,7 @@
     co_return false;
   }
   try {
-    HandleSyncResponse(DecodeResponse(response.body));
+    HandleSyncResponse(DecodeResponse(response.body), requested_at);
   } catch (const protocol_error& e) {
     LogEvent(log_level::kWarning, "peer-message-unreadable",
              {{"problem", e.problem()}, {"remedy", e.remedy()}});
@@ -234,7 +235,8 @@
   co_return true;
 }
 
-void fleet_duty::impl::HandleSyncResponse(const sync_response& response) {
+void fleet_duty::impl::HandleSyncResponse(const sync_response& response,
+                                          boot_time requested_at) {
   const time_point now = std::chrono::steady_clock::now();
   pools_.RecordParent(response.pools, now);
   for (std::size_t i = 0; i < kStreams; ++i) {
@@ -242,7 +244,7 @@
     parent_complete_at_[i] =
         response.updates[i].age ? now - *response.updates[i].age : time_point();
   }
-  HandleUpdates(response.updates);
+  HandleUpdates(response.updates, requested_at);
   if (response.hosts) {
     parent_hosts_version_ = response.hosts_version;
     SetLiveHosts(*response.hosts);
