--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -49,6 +49,11 @@
 
 entry_host::entry_host(entry_settings settings)
     : settings_(std::move(settings)) {
+  for (const char* name :
+       {"pool_view_shared", "pool_view_age_ms", "pool_offered_work_ms",
+        "pool_completed_work_ms", "pool_reserved_slots",
+        "pool_rejected_in_favour_total"})
+    statistics_.DeclarePoolGauge(name);
   MakeDispatcher();
   MakeTraffic();
   MakeMoves();
--- a/packages/statistics/include/dotterellead/statistics.h
+++ b/packages/statistics/include/dotterellead/statistics.h
@@ -40,6 +40,8 @@
   void Record(const request_record& record);
   // Sets a value that another component counts, such as open connections.
   void SetGauge(std::string_view name, std::uint64_t value);
+  // Lists a value of pools in the metrics, also while there is no pool with it.
+  void DeclarePoolGauge(std::string_view name);
   // Sets a value of one pool.
   void SetPoolGauge(std::string_view name,
                     const std::string& pool,
--- a/packages/statistics/src/request_statistics.cc
+++ b/packages/statistics/src/request_statistics.cc
@@ -61,6 +61,11 @@
     gauges_[std::string(name)] = value;
   }
 
+  void DeclarePoolGauge(std::string_view name) {
+    std::lock_guard lock(mutex_);
+    pool_gauges_.try_emplace(std::string(name));
+  }
+
   void SetPoolGauge(std::string_view name,
                     const std::string& pool,
                     std::uint64_t value) {
@@ -148,6 +153,9 @@
 void request_statistics::SetGauge(std::string_view name, std::uint64_t value) {
   impl_->SetGauge(name, value);
 }
+void request_statistics::DeclarePoolGauge(std::string_view name) {
+  impl_->DeclarePoolGauge(name);
+}
 void request_statistics::SetPoolGauge(std::string_view name,
                                       const std::string& pool,
                                       std::uint64_t value) {
--- a/packages/statistics/tests/statistics_test.cc
+++ b/packages/statistics/tests/statistics_test.cc
@@ -50,3 +50,13 @@
   CHECK(text.find(R"(class="other")") != std::string::npos);
   CHECK(text.find(R"(class="class-999")") == std::string::npos);
 }
+
+TEST_CASE("values of pools have the pool as a label") {
+  dotterellead::statistics::request_statistics counts;
+  counts.DeclarePoolGauge("pool_age");
+  CHECK(counts.FormatMetrics().find("# TYPE dotterellead_pool_age gauge\n") !=
+        std::string::npos);
+  counts.SetPoolGauge("pool_age", "p", 7);
+  CHECK(counts.FormatMetrics().find("dotterellead_pool_age{pool=\"p\"} 7\n") !=
+        std::string::npos);
+}
