--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -74,7 +74,7 @@
                  },
                  [this](report_pools& report) {
                    const time_point now = std::chrono::steady_clock::now();
-                   pools_.SetOwn(std::move(report.own), now);
+                   pools_.SetOwn(report.own, now);
                    if (callbacks_.on_pools)
                      callbacks_.on_pools(pools_.Totals(is_root_, now));
                  }},
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -139,8 +139,7 @@
 
   task<> WaitForChanges(const sync_request& request);
 
-  sync_response MakeResponse(const sync_request& request,
-                             boot_time arrived_at);
+  sync_response MakeResponse(const sync_request& request, boot_time arrived_at);
 
   stream_updates UpdatesSince(stream source,
                               log_offset end_offset,
--- a/packages/fleet/src/pool_exchange.cc
+++ b/packages/fleet/src/pool_exchange.cc
@@ -37,7 +37,7 @@
     known[key] = {load, now};
 }
 
-void pool_exchange::SetOwn(pools::pool_table own, time_point now) {
+void pool_exchange::SetOwn(const pools::pool_table& own, time_point now) {
   own_.clear();
   Receive(own_, own, now);
 }
--- a/packages/fleet/src/pool_exchange.h
+++ b/packages/fleet/src/pool_exchange.h
@@ -13,7 +13,7 @@
 class pool_exchange {
  public:
   // What this host sees itself; replaces what it saw before.
-  void SetOwn(pools::pool_table own, time_point now);
+  void SetOwn(const pools::pool_table& own, time_point now);
   // Rows of a child for itself and its descendants. Rows that it did not send
   // are unchanged.
   void RecordChild(const member_id& child,
