--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/core.h>
 
+#include <cmath>
 #include <random>
 #include <set>
 
@@ -51,6 +52,11 @@
 entry_host::entry_host(entry_settings settings)
     : settings_(std::move(settings)),
       incarnation_(static_cast<std::uint64_t>(clock_.Now().wall.value)) {
+  for (const char* name :
+       {"pool_view_shared", "pool_view_age_ms", "pool_offered_work_ms",
+        "pool_completed_work_ms", "pool_reserved_slots",
+        "pool_rejected_in_favour_total"})
+    statistics_.DeclarePoolGauge(name);
   MakeDispatcher();
   MakeTraffic();
   MakeMoves();
@@ -181,6 +187,9 @@
   callbacks.on_crash = [this](request_fingerprint fingerprint) {
     Post(*dispatcher_, dispatch::crash_reported{fingerprint});
   };
+  callbacks.on_pools = [this](pools::pool_table totals) {
+    Post(*dispatcher_, dispatch::pool_view_changed{std::move(totals)});
+  };
   fleet_ =
       std::make_unique<fleet::fleet_duty>(std::move(f), std::move(callbacks));
 }
@@ -286,11 +295,35 @@
                  std::get_if<dispatch::customer_counted>(&effect)) {
     if (usage_)
       usage_->Count(count->customer, count->change, count->sent_at);
+  } else if (auto* report = std::get_if<dispatch::pools_reported>(&effect)) {
+    ReportPools(*report);
+  } else if (const auto* rejected =
+                 std::get_if<dispatch::rejected_in_favour>(&effect)) {
+    ++rejected_in_favour_[rejected->pool];
   } else {
     traffic_->Execute(std::move(effect));
   }
 }
 
+void entry_host::ReportPools(dispatch::pools_reported& report) {
+  for (const auto& [pool, status] : report.status) {
+    const auto set = [&](std::string_view name, double value) {
+      statistics_.SetPoolGauge(name, pool.value(),
+                               static_cast<std::uint64_t>(value));
+    };
+    constexpr double kMillis = 1'000;
+    const pools::priority_load all = status.load.Total();
+    set("pool_view_shared", status.is_view_shared ? 1 : 0);
+    set("pool_view_age_ms", static_cast<double>(status.age.count()));
+    set("pool_offered_work_ms", all.offered_work * kMillis);
+    set("pool_completed_work_ms", all.completed_work * kMillis);
+    set("pool_reserved_slots", std::ceil(status.reserved_slots));
+    set("pool_rejected_in_favour_total",
+        static_cast<double>(rejected_in_favour_[pool]));
+  }
+  fleet_->ReportPools(std::move(report.own));
+}
+
 void entry_host::Execute(moves::move_machine::effect& effect) {
   std::visit(
       overloaded{[this](moves::stages_changed& changed) {
--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -16,6 +16,7 @@
 #include "dotterellead/catalog.h"
 #include "dotterellead/core.h"
 #include "dotterellead/moves.h"
+#include "dotterellead/pools.h"
 #include "dotterellead/usage.h"
 
 namespace dotterellead::fleet {
@@ -138,6 +139,8 @@
   std::vector<crash_event> crash_events;
   // Usage reports of the sender and its descendants.
   std::vector<usage::host_report> usage;
+  // Loads of shared pools, of the sender and its descendants, that changed.
+  pools::pool_table pools;
   // Versions of the lists that the sender received last; 0 for none.
   std::uint64_t hosts_version = 0;
   std::uint64_t stages_version = 0;
@@ -162,6 +165,8 @@
   std::uint64_t events_version = 0;
   // Fencing token of the leader of usage reports, if one is known.
   std::optional<usage::fencing_token> leader_token;
+  // Loads of shared pools, of all hosts, that changed.
+  pools::pool_table pools;
 };
 
 // JSON encoding of the messages. Decoding throws protocol_error if the text is
@@ -206,6 +211,8 @@
   // The leader of usage reports changed, or the parent of this host; recent
   // reports are to be sent again.
   std::function<void(usage::fencing_token)> on_leader_token;
+  // The loads of shared pools of all hosts, with their age. May be absent.
+  std::function<void(pools::pool_table)> on_pools;
 };
 
 // Runs the host's part of the tree on its own thread. All methods but Start and
@@ -231,6 +238,9 @@
   void ReportUsage(std::vector<usage::host_report> reports);
   // Distributes the token of this host, which leads; used by the root.
   void PublishLeaderToken(usage::fencing_token token);
+  // Replaces this host's part of the loads of shared pools. Answered with
+  // on_pools.
+  void ReportPools(pools::pool_table own);
 
  private:
   class impl;
--- a/packages/fleet/src/fleet_duty.cc
+++ b/packages/fleet/src/fleet_duty.cc
@@ -75,7 +75,13 @@
                  [this](std::vector<usage::host_report>& reports) {
                    PassUsage(std::move(reports));
                  },
-                 [this](usage::fencing_token token) { SetLeaderToken(token); }},
+                 [this](usage::fencing_token token) { SetLeaderToken(token); },
+                 [this](report_pools& report) {
+                   const time_point now = std::chrono::steady_clock::now();
+                   pools_.SetOwn(report.own, now);
+                   if (callbacks_.on_pools)
+                     callbacks_.on_pools(pools_.Totals(is_root_, now));
+                 }},
       c);
 }
 
@@ -170,5 +176,8 @@
 void fleet_duty::PublishLeaderToken(usage::fencing_token token) {
   impl_->Push(token);
 }
+void fleet_duty::ReportPools(pools::pool_table own) {
+  impl_->Push(report_pools{std::move(own)});
+}
 
 }  // namespace dotterellead::fleet
