Decide on hedged attempts for slow idempotent requests

Cause: one server that stalls during a request holds it until its deadline, although others are idle; a few such answers make up the slowest part of all.

Change: an idempotent request whose attempt takes longer than 95% of the recent ones of its route and pool gets a second attempt at a warm local server with a spare slot, within a share of the pool's requests and the retry budget. The first success is delivered and the other attempt is cancelled. Off by default, during moves, and while the pool's queue is not empty. Attempts are told apart by their number, since two can be in progress.

--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -4,6 +4,7 @@
 #ifndef DOTTERELLEAD_DISPATCH_H_
 #define DOTTERELLEAD_DISPATCH_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -162,18 +163,28 @@
   milliseconds timeout{0};
 };
 
-// Sends the request to a server. Ends with one attempt_ended.
+// Sends the request to a server. Ends with one attempt_ended, unless the
+// attempt is cancelled.
 struct send_attempt {
   request_id request;
   server_ref server;
   // Time within which the server must respond.
   milliseconds timeout{0};
+  // Counts the request's attempts from 1. Two can be in progress at a time.
   int attempt_number = 0;
 };
 
-// Delivers the response of the last attempt to the caller unchanged.
+// Cancels one attempt of a request, while another one is in progress or was
+// delivered.
+struct cancel_attempt {
+  request_id request;
+  int attempt_number = 0;
+};
+
+// Delivers the response of an attempt to the caller unchanged.
 struct deliver_response {
   request_id request;
+  int attempt_number = 0;
 };
 
 enum class reject_reason {
@@ -241,6 +252,13 @@
   milliseconds total{0};
 };
 
+enum class hedge_event { kSent, kWon, kLost };
+
+// A hedged attempt was sent, or ended: it delivered the response, or did not.
+struct hedge_changed {
+  hedge_event event = hedge_event::kSent;
+};
+
 // One line of the decision log.
 struct decision {
   std::string event;
@@ -249,6 +267,18 @@
 
 // ---- State machine
 
+// Largest share of a pool's requests that get a hedged attempt, from 0 (off) to
+// 1. The share of a route goes before that of a pool, and that of a pool before
+// the general one.
+struct hedge_shares {
+  double all = 0;
+  std::map<pool_id, double> by_pool;
+  std::map<catalog::route_name, double> by_route;
+  bool is_enabled() const {
+    return all > 0 || !by_pool.empty() || !by_route.empty();
+  }
+};
+
 struct dispatch_settings {
   member_id self;
   data_centre_id data_centre;
@@ -263,6 +293,7 @@
   // Average number of probes per second that one server accepts from all hosts
   // together; from the operators' limits.
   double max_probe_rate = 60;
+  hedge_shares hedging;
   std::uint64_t seed = 1;
 };
 
@@ -282,6 +313,7 @@
                                tick>;
   using effect = std::variant<probe_servers,
                               send_attempt,
+                              cancel_attempt,
                               deliver_response,
                               reject_request,
                               cancel_request,
@@ -289,6 +321,7 @@
                               crash_detected,
                               version_observed,
                               request_completed,
+                              hedge_changed,
                               decision>;
 
   explicit dispatcher(dispatch_settings settings);
--- a/packages/dispatch/src/attempts.cc
+++ b/packages/dispatch/src/attempts.cc
@@ -34,12 +34,6 @@
   return "unknown";
 }
 
-bool DidNotRun(attempt_result result) {
-  return result == attempt_result::kNotRun ||
-         result == attempt_result::kWrongServer ||
-         result == attempt_result::kNotConnected;
-}
-
 bool IsSuccess(const attempt_ended& m) {
   return m.result == attempt_result::kResponded &&
          m.status < kFirstServerErrorStatus;
@@ -47,29 +41,38 @@
 
 }  // namespace
 
+bool DidNotRun(attempt_result result) {
+  return result == attempt_result::kNotRun ||
+         result == attempt_result::kWrongServer ||
+         result == attempt_result::kNotConnected;
+}
+
 void dispatcher::impl::RecordOutcome(const request_state& request,
+                                     const sent_attempt& attempt,
                                      const attempt_ended& m,
                                      const timestamp& now,
                                      effects& out) {
   if (IsSuccess(m)) {
-    availability_.RecordSuccess(request.run());
-    ServiceTimeOf(*request.route).AddSample(m.latency, request.load_at_send);
+    availability_.RecordSuccess(attempt.run());
+    ServiceTimeOf(*request.route).AddSample(m.latency, attempt.load_at_send);
+    hedges_.RecordLatency(request.pool, request.route->name, m.latency);
   } else if (m.result == attempt_result::kNotConnected ||
              m.result == attempt_result::kWrongServer) {
-    availability_.RecordUnreachable(request.run(), now.steady);
+    availability_.RecordUnreachable(attempt.run(), now.steady);
   } else if (m.result != attempt_result::kNotRun) {
-    availability_.RecordFailure(request.run(), now.steady);
+    availability_.RecordFailure(attempt.run(), now.steady);
   }
   if (m.result == attempt_result::kConnectionLost)
-    StartCrashCheck(request, now, out);
+    StartCrashCheck(request, attempt, now, out);
   if (!DidNotRun(m.result))
-    ObserveVersion(request, !IsSuccess(m), now, out);
+    ObserveVersion(request, attempt, !IsSuccess(m), now, out);
 }
 
 void dispatcher::impl::StartCrashCheck(const request_state& request,
+                                       const sent_attempt& attempt,
                                        const timestamp& now,
                                        effects& out) {
-  const auto server = catalog_->servers.find(request.server);
+  const auto server = catalog_->servers.find(attempt.server);
   if (server == catalog_->servers.end() ||
       !availability_.IsUsable(server->second, now.steady))
     return;
@@ -79,17 +82,18 @@
 }
 
 void dispatcher::impl::ObserveVersion(const request_state& request,
+                                      const sent_attempt& attempt,
                                       bool is_failure,
                                       const timestamp& now,
                                       effects& out) {
   const auto order = catalog_->moves.find(request.pool);
   if (order == catalog_->moves.end())
     return;
-  const bool is_slow = now.steady - request.sent_at >
-                       request.predicted_latency * kSlowLatencyFactor;
+  const bool is_slow = now.steady - attempt.sent_at >
+                       attempt.predicted_latency * kSlowLatencyFactor;
   out.emplace_back(
       version_observed{request.pool, order->second.revision,
-                       request.server_version == order->second.target,
+                       attempt.server_version == order->second.target,
                        request.route->name, is_failure || is_slow});
 }
 
@@ -113,18 +117,28 @@
                           const timestamp& now,
                           effects& out) {
   auto it = requests_.find(m.request);
-  if (it == requests_.end() || it->second.phase != request_phase::kSent ||
-      it->second.server != m.server)
+  if (it == requests_.end() || it->second.phase != request_phase::kSent)
     return;
   request_state& request = it->second;
-  RecordOutcome(request, m, now, out);
+  const bool is_hedge = request.hedge && request.hedge->server == m.server;
+  if (!is_hedge && request.attempt.server != m.server)
+    return;
+  const sent_attempt ended = is_hedge ? *request.hedge : request.attempt;
+  RecordOutcome(request, ended, m, now, out);
   Log(out, "attempt-ended",
       {{"request", request.caller_request_id},
        {"server", m.server.value()},
        {"result", std::string(to_string(m.result))},
        {"status", fmt::format("{}", m.status)},
        {"taken_ms", fmt::format("{}", m.latency.count() / 1000)}});
+  if (IsSuccess(m))
+    CancelLoser(m.request, request, ended, now, out);
+  if (!IsSuccess(m) && request.hedge) {
+    EndOneOfTwo(request, m, out);
+    return;
+  }
   request.phase = request_phase::kProbing;
+  request.hedge_at.reset();
   if (!DidNotRun(m.result))
     request.earlier_attempt_may_have_run = true;
   if (m.result == attempt_result::kNotConnected)
@@ -143,7 +157,7 @@
     const auto total = std::chrono::duration_cast<milliseconds>(
         now.steady - request.arrived_at);
     out.emplace_back(request_completed{request.route->name, true, {}, total});
-    Finish(m.request, deliver_response{m.request}, out);
+    Finish(m.request, deliver_response{m.request, ended.number}, out);
     return;
   }
   Reject(m.request, request,
@@ -196,7 +210,7 @@
        {"held_ms", fmt::format("{}", time_held.count())},
        {"sends", fmt::format("{}", request.attempts)},
        {"sampled", fmt::format("{}", request.samples.size())},
-       {"server", request.server.value()},
+       {"server", request.attempt.server.value()},
        {"retry_after_ms",
         fmt::format("{}",
                     rejection.retry_after.value_or(milliseconds(0)).count())}});
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -58,6 +58,7 @@
       random_(static_cast<std::minstd_rand::result_type>(
           settings_.seed % 2'147'483'646 + 1)),
       retry_allowance_(settings_.retry_allowance, settings_.min_host_count),
+      hedges_(settings_.hedging, settings_.retry_window),
       cold_starts_(settings_.self) {}
 
 void dispatcher::impl::Step(const message& m,
@@ -74,9 +75,12 @@
   };
   if (!deferred_requests_.empty())
     consider(deferred_requests_.front().arrived_at + kConfigurationWait);
-  for (const auto& [id, request] : requests_)
+  for (const auto& [id, request] : requests_) {
     consider(request.phase == request_phase::kQueued ? request.queue_deadline
                                                      : request.deadline);
+    if (request.hedge_at)
+      consider(*request.hedge_at);
+  }
   for (const auto& [pool, queue] : queues_)
     if (!queue.requests.empty() && !queue.probe_id.is_valid())
       consider(queue.next_probe_at);
@@ -233,13 +237,16 @@
     request_state& request = requests_.at(id);
     const bool may_have_run = request.may_have_run();
     if (request.phase == request_phase::kSent) {
-      availability_.RecordFailure(request.run(), now.steady);
-      ObserveVersion(request, true, now, out);
+      availability_.RecordFailure(request.attempt.run(), now.steady);
+      ObserveVersion(request, request.attempt, true, now, out);
     }
     Reject(id, request,
            may_have_run ? reject_reason::kTimedOut : reject_reason::kNoCapacity,
            now, out);
   }
+  for (auto& [id, request] : requests_)
+    if (request.hedge_at && *request.hedge_at <= now.steady)
+      StartHedge(id, request, now, out);
   for (auto& [pool, queue] : queues_)
     if (!queue.requests.empty() && !queue.probe_id.is_valid() &&
         queue.next_probe_at <= now.steady)
--- a/packages/dispatch/src/dispatcher_impl.h
+++ b/packages/dispatch/src/dispatcher_impl.h
@@ -10,6 +10,7 @@
 
 #include "cold_start_limiter.h"
 #include "dotterellead/dispatch.h"
+#include "hedge_limiter.h"
 #include "placement.h"
 #include "poison_request_detector.h"
 #include "probe_budget.h"
@@ -21,6 +22,9 @@
 
 namespace dotterellead::dispatch {
 
+// Whether the result guarantees that the server did not run the request.
+bool DidNotRun(attempt_result result);
+
 class dispatcher::impl {
  public:
   explicit impl(dispatch_settings settings);
@@ -62,6 +66,18 @@
     milliseconds probe_interval{0};
   };
 
+  // An attempt in progress.
+  struct sent_attempt {
+    int number = 0;
+    server_id server;
+    unix_millis server_started_at;
+    version_id server_version;
+    load_report load_at_send;
+    milliseconds predicted_latency{0};
+    time_point sent_at;
+    server_run run() const { return {server, server_started_at}; }
+  };
+
   // A request without a final response.
   struct request_state {
     std::string caller_request_id;
@@ -88,20 +104,18 @@
     bool earlier_attempt_may_have_run = false;
     bool is_caller_disconnected = false;
     std::set<server_id> tried_servers;
-    // The server of the current attempt, and the load and latency that were
-    // predicted for it.
-    server_id server;
-    unix_millis server_started_at;
-    version_id server_version;
-    load_report load_at_send;
-    milliseconds predicted_latency{0};
-    time_point sent_at;
+    // The current attempt; the last one if the phase is not kSent.
+    sent_attempt attempt;
+    int last_attempt_number = 0;
+    // The hedged attempt in progress beside it.
+    std::optional<sent_attempt> hedge;
+    // When to hedge the current attempt.
+    std::optional<time_point> hedge_at;
     std::map<server_id, timed_sample> samples;
 
     bool may_have_run() const {
       return earlier_attempt_may_have_run || phase == request_phase::kSent;
     }
-    server_run run() const { return {server, server_started_at}; }
   };
 
   void On(const request_arrived& m, const timestamp& now, effects& out);
@@ -188,6 +202,11 @@
                    milliseconds predicted,
                    const timestamp& now,
                    effects& out);
+  // Records an attempt that is sent to `to` now.
+  sent_attempt StartAttempt(request_state& request,
+                            const candidate& to,
+                            milliseconds predicted,
+                            const timestamp& now);
   // Results of a probe round for a pool's queue, and of a probe that checks
   // whether a server has crashed.
   void HandleQueueProbes(const pool_id& pool,
@@ -260,17 +279,52 @@
   milliseconds RetryAfter(const request_state& request, const timestamp& now);
   milliseconds AfterReturn(time_point returns_at, const timestamp& now);
 
+  // Hedged attempts (hedging.cc).
+  // When to hedge the request's current attempt, if at all.
+  std::optional<time_point> HedgeTime(const request_state& request,
+                                      const timestamp& now) const;
+  // Whether a second attempt may run beside the current one.
+  bool MayHedge(const request_state& request) const;
+  // Probes servers for the hedged attempt of a request that is due.
+  void StartHedge(request_id id,
+                  request_state& request,
+                  const timestamp& now,
+                  effects& out);
+  void HandleHedgeProbes(request_id id,
+                         const probes_completed& m,
+                         const timestamp& now,
+                         effects& out);
+  void SendHedge(request_id id,
+                 request_state& request,
+                 const candidate& to,
+                 milliseconds predicted,
+                 const timestamp& now,
+                 effects& out);
+  // One of two attempts in progress failed; the request goes on with the other.
+  static void EndOneOfTwo(request_state& request,
+                          const attempt_ended& m,
+                          effects& out);
+  // Cancels the attempt that did not deliver the response, if there is one.
+  void CancelLoser(request_id id,
+                   request_state& request,
+                   const sent_attempt& winner,
+                   const timestamp& now,
+                   effects& out);
+
   // Results (attempts.cc).
   void RecordOutcome(const request_state& request,
+                     const sent_attempt& attempt,
                      const attempt_ended& m,
                      const timestamp& now,
                      effects& out);
   // Probes the server of a lost connection to find out whether it has crashed.
   void StartCrashCheck(const request_state& request,
+                       const sent_attempt& attempt,
                        const timestamp& now,
                        effects& out);
   // Emits version_observed if the request's pool has a move.
   void ObserveVersion(const request_state& request,
+                      const sent_attempt& attempt,
                       bool is_failure,
                       const timestamp& now,
                       effects& out);
@@ -313,6 +367,8 @@
   // Pool of each probe round in progress for a queue.
   std::map<request_id, pool_id> queue_probes_;
   std::uint64_t probe_count_ = 0;
+  // Request of each probe round in progress for a hedged attempt.
+  std::map<request_id, request_id> hedge_probes_;
   // Fingerprint of the request of each crash check in progress.
   std::map<request_id, request_fingerprint> crash_checks_;
   poison_request_detector poison_requests_;
@@ -325,6 +381,7 @@
   std::map<catalog::route_name, service_time_estimate> service_times_;
   std::map<pool_id, retry_budget> retry_budgets_;
   retry_allowance retry_allowance_;
+  hedge_limiter hedges_;
   std::map<catalog::route_name, std::vector<double>> pool_credit_;
   std::map<catalog::route_name, std::deque<milliseconds>>
       recent_caller_timeouts_;
--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -232,6 +232,13 @@
     HandleCrashCheck(fingerprint, m, now, out);
     return;
   }
+  if (auto hedge = hedge_probes_.find(m.request);
+      hedge != hedge_probes_.end()) {
+    const request_id request = hedge->second;
+    hedge_probes_.erase(hedge);
+    HandleHedgeProbes(request, m, now, out);
+    return;
+  }
   auto it = requests_.find(m.request);
   if (it == requests_.end() || it->second.phase != request_phase::kProbing)
     return;
@@ -315,8 +322,10 @@
 std::uint32_t dispatcher::impl::OwnRequestsOn(const server_id& server) const {
   return static_cast<std::uint32_t>(
       std::count_if(requests_.begin(), requests_.end(), [&](const auto& entry) {
-        return entry.second.phase == request_phase::kSent &&
-               entry.second.server == server;
+        const request_state& request = entry.second;
+        return request.phase == request_phase::kSent &&
+               (request.attempt.server == server ||
+                (request.hedge && request.hedge->server == server));
       }));
 }
 
@@ -401,6 +410,26 @@
     Enqueue(id, request, now, out);
 }
 
+dispatcher::impl::sent_attempt dispatcher::impl::StartAttempt(
+    request_state& request,
+    const candidate& to,
+    milliseconds predicted,
+    const timestamp& now) {
+  request.tried_servers.insert(to.server.id);
+  std::deque<time_point>& attempts = own_attempts_[to.server.id];
+  while (!attempts.empty() && attempts.front() + kAttemptHistory < now.steady)
+    attempts.pop_front();
+  attempts.push_back(now.steady);
+  ++request.attempts;
+  return {++request.last_attempt_number,
+          to.server.id,
+          to.server.started_at,
+          catalog_->servers.at(to.server.id).version,
+          to.load,
+          predicted,
+          now.steady};
+}
+
 void dispatcher::impl::SendAttempt(request_id id,
                                    request_state& request,
                                    const candidate& to,
@@ -417,18 +446,8 @@
     return;
   }
   request.phase = request_phase::kSent;
-  request.server = to.server.id;
-  request.server_started_at = to.server.started_at;
-  request.server_version = catalog_->servers.at(to.server.id).version;
-  request.load_at_send = to.load;
-  request.sent_at = now.steady;
-  request.predicted_latency = predicted;
-  request.tried_servers.insert(to.server.id);
-  std::deque<time_point>& attempts = own_attempts_[to.server.id];
-  while (!attempts.empty() && attempts.front() + kAttemptHistory < now.steady)
-    attempts.pop_front();
-  attempts.push_back(now.steady);
-  ++request.attempts;
+  request.attempt = StartAttempt(request, to, predicted, now);
+  request.hedge_at = HedgeTime(request, now);
   Log(out, "placed",
       {{"request", request.caller_request_id},
        {"route", request.route->name.value()},
@@ -442,7 +461,8 @@
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", timeout.count())},
        {"config", fmt::format("{}", request.config->version.value())}});
-  out.emplace_back(send_attempt{id, to.server, timeout, request.attempts});
+  out.emplace_back(
+      send_attempt{id, to.server, timeout, request.attempt.number});
 }
 
 milliseconds dispatcher::impl::RetryAfter(const request_state& request,
--- a/packages/dispatch/src/routing.cc
+++ b/packages/dispatch/src/routing.cc
@@ -89,6 +89,7 @@
   auto [budget, is_new] = retry_budgets_.try_emplace(
       request.pool, settings_.retry_ratio, settings_.retry_window);
   budget->second.RecordRequest(now.steady);
+  hedges_.RecordRequest(request.pool, now.steady);
   auto [it, inserted] = requests_.emplace(m.request, std::move(request));
   StartProbing(m.request, it->second, now, out);
 }
--- a/packages/dispatch/tests/dispatch_simulation.h
+++ b/packages/dispatch/tests/dispatch_simulation.h
@@ -23,6 +23,8 @@
   bool is_healthy = true;
   bool is_reachable = true;
   milliseconds warmup_left{0};
+  // Added to the service time without a trace in the load report.
+  milliseconds stall{0};
   // If false, a probe waits for a slot like a request.
   bool reports_load = true;
 };
@@ -95,17 +97,21 @@
     return id;
   }
 
-  // Ends the current attempt of the request.
-  void EndAttempt(request_id id, attempt_result result, int status = 200) {
-    const server_id server = results[id].sent_to.back();
+  // Ends the latest attempt of the request, or the one at `server`.
+  void EndAttempt(request_id id,
+                  attempt_result result,
+                  int status = 200,
+                  server_id server = {}) {
+    if (!server.is_valid())
+      server = results[id].sent_to.back();
     --servers[server].running;
     attempt_ended m;
     m.request = id;
     m.server = server;
     m.result = result;
     m.status = status;
-    m.latency =
-        std::chrono::duration_cast<microseconds>(now_.steady - sent_at_[id]);
+    m.latency = std::chrono::duration_cast<microseconds>(
+        now_.steady - sent_at_[{id, server}]);
     Step(m);
   }
 
@@ -159,6 +165,10 @@
   milliseconds service_time{0};
   int max_running = 0;
   int crashes_reported = 0;
+  int versions_observed = 0;
+  std::map<hedge_event, int> hedge_events;
+  // Servers whose attempts were cancelled beside another one.
+  std::vector<server_id> cancelled;
   int probes = 0;
   std::map<server_id, int> probes_of;
 
@@ -240,7 +250,7 @@
       if (results[item.request].is_delivered || results[item.request].rejected)
         --servers[item.server].running;
       else
-        EndAttempt(item.request, attempt_result::kResponded);
+        EndAttempt(item.request, attempt_result::kResponded, 200, item.server);
     }
   }
 
@@ -249,7 +259,8 @@
   }
   void Handle(send_attempt& e) {
     results[e.request].sent_to.push_back(e.server.id);
-    sent_at_[e.request] = now_.steady;
+    sent_at_[{e.request, e.server.id}] = now_.steady;
+    attempt_servers_[{e.request, e.attempt_number}] = e.server.id;
     fake_server& s = servers[e.server.id];
     ++s.running;
     max_running = std::max(max_running, s.running);
@@ -257,11 +268,11 @@
       // The last free slot is slower, and so are queued requests.
       const double crowd = s.running > 1 ? 1.7 : 1;
       const double queue = s.running > 2 ? 2 : 1;
-      working_.push_back(
-          {e.request, e.server.id,
-           now_.steady + milliseconds(static_cast<std::int64_t>(
-                             static_cast<double>(service_time.count()) * crowd *
-                             queue * s.slowdown_percent / 100))});
+      working_.push_back({e.request, e.server.id,
+                          now_.steady + s.stall +
+                              milliseconds(static_cast<std::int64_t>(
+                                  static_cast<double>(service_time.count()) *
+                                  crowd * queue * s.slowdown_percent / 100))});
     }
   }
   void Handle(deliver_response& e) {
@@ -274,9 +285,18 @@
     results[e.request].retry_after = e.retry_after;
   }
   void Handle(cancel_request&) {}
+  void Handle(cancel_attempt& e) {
+    const server_id server = attempt_servers_.at({e.request, e.attempt_number});
+    cancelled.push_back(server);
+    --servers[server].running;
+    std::erase_if(working_, [&](const work_item& item) {
+      return item.request == e.request && item.server == server;
+    });
+  }
   void Handle(close_connections& e) { closed.push_back(e.address); }
   void Handle(crash_detected&) { ++crashes_reported; }
-  void Handle(version_observed&) {}
+  void Handle(version_observed&) { ++versions_observed; }
+  void Handle(hedge_changed& e) { ++hedge_events[e.event]; }
   void Handle(request_completed&) {}
   void Handle(decision&) {}
 
@@ -289,7 +309,8 @@
   timestamp now_{time_point(std::chrono::hours(1)), {1'000'000}};
   std::uint64_t request_count_ = 0;
   std::map<request_id, time_point> arrived_at_;
-  std::map<request_id, time_point> sent_at_;
+  std::map<std::pair<request_id, server_id>, time_point> sent_at_;
+  std::map<std::pair<request_id, int>, server_id> attempt_servers_;
   std::deque<probe_round> probe_rounds_;
   std::vector<work_item> working_;
 };
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -137,7 +137,13 @@
 task<> traffic_service::impl::RunAttempt(open_request_ptr open,
                                          dispatch::send_attempt attempt) {
   auto handle = std::make_shared<exchange_handle>();
-  open->attempt = handle;
+  // The one before may have ended while the dispatcher sent this one, and may
+  // still be delivered.
+  std::erase_if(open->attempts, [&](const auto& entry) {
+    return entry.second.exchange == nullptr &&
+           entry.first + 1 < attempt.attempt_number;
+  });
+  open->attempts[attempt.attempt_number].exchange = handle;
   const time_point started = std::chrono::steady_clock::now();
   auto request = std::make_shared<const request_message>(MakeServerRequest(
       *open->request, open->path, settings_.headers, attempt));
@@ -149,20 +155,37 @@
     co_return;
   const auto latency = std::chrono::duration_cast<microseconds>(
       std::chrono::steady_clock::now() - started);
+  open_attempt& ended = open->attempts[attempt.attempt_number];
+  ended.exchange = nullptr;
   if (result.result == dispatch::attempt_result::kResponded)
-    open->server_response = caller_response{std::move(result.response),
-                                            std::move(result.reservation)};
+    ended.response = caller_response{std::move(result.response),
+                                     std::move(result.reservation)};
   post_(dispatch::attempt_ended{attempt.request, attempt.server.id,
                                 result.result, result.status, latency,
                                 result.load});
 }
 
+void traffic_service::impl::On(dispatch::cancel_attempt& e) {
+  auto it = open_requests_.find(e.request);
+  if (it == open_requests_.end())
+    return;
+  const auto attempt = it->second->attempts.find(e.attempt_number);
+  if (attempt == it->second->attempts.end())
+    return;
+  if (attempt->second.exchange)
+    attempt->second.exchange->Cancel();
+  it->second->attempts.erase(attempt);
+}
+
 void traffic_service::impl::On(dispatch::deliver_response& e) {
   auto it = open_requests_.find(e.request);
-  if (it == open_requests_.end() || !it->second->server_response)
+  if (it == open_requests_.end())
+    return;
+  const auto attempt = it->second->attempts.find(e.attempt_number);
+  if (attempt == it->second->attempts.end() || !attempt->second.response)
     return;
   ++delivered_count_;
-  Finish(e.request, std::move(*it->second->server_response));
+  Finish(e.request, std::move(*attempt->second.response));
 }
 
 void traffic_service::impl::On(dispatch::reject_request& e) {
@@ -190,8 +213,9 @@
   open_request_ptr open = std::move(it->second);
   open_requests_.erase(it);
   open_request_count_ = open_requests_.size();
-  if (open->attempt)
-    open->attempt->Cancel();
+  for (auto& [number, attempt] : open->attempts)
+    if (attempt.exchange)
+      attempt.exchange->Cancel();
   open->response = std::move(response);
   open->is_finished = true;
   open->finished.cancel();
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -35,6 +35,12 @@
   std::atomic<std::uint64_t>& count_;
 };
 
+// An attempt in progress, or ended with a complete response.
+struct open_attempt {
+  std::shared_ptr<exchange_handle> exchange;
+  std::optional<caller_response> response;
+};
+
 // A request whose caller waits for the response.
 struct open_request {
   explicit open_request(asio::io_context& io) : finished(io) {
@@ -42,9 +48,8 @@
   }
   std::shared_ptr<request_message> request;
   std::string path;
-  std::shared_ptr<exchange_handle> attempt;
-  // The latest complete response of a server.
-  std::optional<caller_response> server_response;
+  // The latest two, by number.
+  std::map<int, open_attempt> attempts;
   // The response for the caller.
   std::optional<caller_response> response;
   // Cancelled once `response` is set or the caller has disconnected.
@@ -111,6 +116,7 @@
   void HandleCommand(command& c);
   void On(dispatch::probe_servers& e);
   void On(dispatch::send_attempt& e);
+  void On(dispatch::cancel_attempt& e);
   void On(dispatch::deliver_response& e);
   void On(dispatch::reject_request& e);
   void On(dispatch::cancel_request& e);
