--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -64,6 +64,7 @@
   d.retry_allowance = settings_.retry_allowance;
   d.min_host_count = settings_.seeds.size();
   d.max_probe_rate = settings_.max_probe_rate;
+  d.hedging = settings_.hedging;
   d.seed = StableHash(settings_.host.value()) ^
            static_cast<std::uint64_t>(clock_.Now().wall.value);
   dispatcher_ = std::make_unique<duty<dispatch::dispatcher>>(
@@ -90,6 +91,9 @@
   statistics_.SetGauge("requests_total", counts.requests);
   statistics_.SetGauge("probes_total", counts.probes);
   statistics_.SetGauge("server_connections_total", counts.server_connections);
+  statistics_.SetGauge("hedges_sent_total", hedge_counts_[0]);
+  statistics_.SetGauge("hedges_won_total", hedge_counts_[1]);
+  statistics_.SetGauge("hedges_lost_total", hedge_counts_[2]);
   statistics_.SetGauge("unexpected_errors_total", UnexpectedErrorCount());
   statistics_.SetGauge("buffered_response_bytes",
                        counts.buffered_response_bytes);
@@ -217,6 +221,9 @@
         {completed->route.value(),
          completed->is_delivered ? "delivered" : to_string(completed->reason),
          completed->total});
+  } else if (const auto* hedge =
+                 std::get_if<dispatch::hedge_changed>(&effect)) {
+    ++hedge_counts_[static_cast<std::size_t>(hedge->event)];
   } else if (const auto* observed =
                  std::get_if<dispatch::version_observed>(&effect)) {
     moves::counter_table one;
--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -2,6 +2,7 @@
 #ifndef APPS_ENTRY_ENTRY_HOST_H_
 #define APPS_ENTRY_ENTRY_HOST_H_
 
+#include <array>
 #include <atomic>
 #include <memory>
 
@@ -44,6 +45,8 @@
   system_clock_source clock_;
   std::atomic<bool> has_config_ = false;
   std::atomic<bool> is_draining_ = false;
+  // By dispatch::hedge_event.
+  std::array<std::atomic<std::uint64_t>, 3> hedge_counts_{};
   statistics::request_statistics statistics_;
   std::unique_ptr<traffic::traffic_service> traffic_;
   std::unique_ptr<duty<dispatch::dispatcher>> dispatcher_;
--- a/apps/entry/entry_settings.cc
+++ b/apps/entry/entry_settings.cc
@@ -86,6 +86,35 @@
   return value;
 }
 
+constexpr limit_setting kHedgeShare = {
+    "hedge-share",
+    "share of a pool's requests that may be hedged",
+    0,
+    1,
+    [](entry_settings& s, double v) { s.hedging.all = v; },
+    "off"};
+
+// Parses "pool/NAME=SHARE" or "route/NAME=SHARE".
+void ParseHedgeShare(const std::string& text, dispatch::hedge_shares& shares) {
+  constexpr std::string_view kPool = "pool/";
+  constexpr std::string_view kRoute = "route/";
+  const std::size_t split = text.rfind('=');
+  const std::string name = text.substr(0, split);
+  const bool is_pool = name.starts_with(kPool) && name.size() > kPool.size();
+  const bool is_route = name.starts_with(kRoute) && name.size() > kRoute.size();
+  if (split == std::string::npos || !(is_pool || is_route))
+    throw invalid_setting_error(
+        "setting hedge-shares has the entry '" + text + "'",
+        "give entries such as pool/NAME=0.05 or route/NAME=0");
+  limit_setting limit = kHedgeShare;
+  limit.name = "hedge-shares";
+  const double share = ParseLimit(text.substr(split + 1), limit);
+  if (is_pool)
+    shares.by_pool[pool_id(name.substr(kPool.size()))] = share;
+  else
+    shares.by_route[catalog::route_name(name.substr(kRoute.size()))] = share;
+}
+
 bool ParseFirstStart(const std::string& text) {
   if (text.empty() || text == "false" || text == "0")
     return false;
@@ -140,6 +169,12 @@
     app.add_option(std::string("--") + kLimits[i].name, limit_texts[i],
                    fmt::format("{}; without it: {}", kLimits[i].description,
                                kLimits[i].if_missing));
+  std::string hedge_share;
+  std::vector<std::string> hedge_shares;
+  app.add_option("--hedge-share", hedge_share, kHedgeShare.description);
+  app.add_option("--hedge-shares", hedge_shares,
+                 "the same by pool or route: pool/NAME=SHARE, route/NAME=SHARE")
+      ->delimiter(',');
   app.add_option("--log-level", level, "debug, info, warning or error")
       ->envname("DOTTERELLEAD_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
@@ -179,6 +214,11 @@
   };
   s.has_moves = !is_missing("expose-share") && !is_missing("expose-slack");
   s.is_first_start = ParseFirstStart(first_start);
+  if (!hedge_share.empty())
+    kHedgeShare.set(s, ParseLimit(hedge_share, kHedgeShare));
+  for (const std::string& entry : hedge_shares)
+    if (!entry.empty())
+      ParseHedgeShare(entry, s.hedging);
   const std::map<std::string, log_level> levels{
       {"debug", log_level::kDebug},
       {"info", log_level::kInfo},
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -42,6 +42,8 @@
   double max_probe_rate = 60;
   double max_exposure_ratio = 0.1;
   double exposure_allowance = 50;
+  // Shares of requests that may get a hedged attempt.
+  dispatch::hedge_shares hedging;
   // Whether operators may order moves to new versions. Off without a limit on
   // the exposure of new versions.
   bool has_moves = true;
--- a/apps/entry/tests/entry_settings_test.cc
+++ b/apps/entry/tests/entry_settings_test.cc
@@ -168,3 +168,23 @@
     }
   }
 }
+
+TEST_CASE("hedging is off unless a share is set") {
+  const std::string filled = FillTemplate(HostValues());
+  CHECK_FALSE(ReadFilled(filled).hedging.is_enabled());
+  CHECK_FALSE(ReadFilled(filled + "\nhedge-share=\n").hedging.is_enabled());
+  const dispatch::hedge_shares shares =
+      ReadFilled(filled +
+                 "\nhedge-share=0.05\n"
+                 "hedge-shares=[\"pool/a=0.1\", \"route/r=0\"]\n")
+          .hedging;
+  CHECK(shares.all == 0.05);
+  CHECK(shares.by_pool.at(pool_id("a")) == 0.1);
+  CHECK(shares.by_route.at(catalog::route_name("r")) == 0);
+  for (const std::string line :
+       {"hedge-share=2", "hedge-shares=[\"pool/a=2\"]",
+        "hedge-shares=[\"server/a=0.1\"]", "hedge-shares=[\"pool/=0.1\"]",
+        "hedge-shares=[\"pool/a\"]"})
+    CHECK_THROWS_AS(ReadFilled(filled + "\n" + line + "\n"),
+                    invalid_setting_error);
+}
