--- a/packages/dispatch/src/hedging.cc
+++ b/packages/dispatch/src/hedging.cc
@@ -91,17 +91,25 @@
   if (chosen.best == nullptr ||
       now.steady + chosen.predicted_latency >= request.deadline)
     return;
+  // The attempt in progress began while the caller's key was valid, and goes
+  // on.
+  const customer_access::decision access = access_.Check(
+      *catalog_->config, *request.route, request.credential, now.boot);
+  if (access.rejected)
+    return;
   if (!hedges_.TryAcquire(request.pool, request.route->name, now.steady) ||
       !retry_budgets_.at(request.pool)
            .TryAcquire(now.steady, retry_allowance_.ShareAt(now.steady)))
     return;
-  SendHedge(id, request, *chosen.best, chosen.predicted_latency, now, out);
+  SendHedge(id, request, *chosen.best, chosen.predicted_latency, access, now,
+            out);
 }
 
 void dispatcher::impl::SendHedge(request_id id,
                                  request_state& request,
                                  const candidate& to,
                                  milliseconds predicted,
+                                 const customer_access::decision& access,
                                  const timestamp& now,
                                  effects& out) {
   request.hedge = StartAttempt(request, to, predicted, now);
@@ -118,7 +126,8 @@
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", timeout.count())}});
   out.emplace_back(hedge_changed{hedge_event::kSent});
-  out.emplace_back(send_attempt{id, to.server, timeout, request.hedge->number});
+  out.emplace_back(send_attempt{id, to.server, timeout, request.hedge->number,
+                                access.header, access.valid_until});
 }
 
 void dispatcher::impl::EndOneOfTwo(request_state& request,
@@ -132,7 +141,8 @@
   request.hedge_at.reset();
   if (!DidNotRun(m.result))
     request.earlier_attempt_may_have_run = true;
-  if (m.result == attempt_result::kNotConnected)
+  if (m.result == attempt_result::kNotConnected ||
+      m.result == attempt_result::kNotSent)
     --request.attempts;
   if (is_hedge)
     out.emplace_back(hedge_changed{hedge_event::kLost});
--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -445,9 +445,15 @@
            now, out);
     return;
   }
+  const std::optional<customer_access::decision> access =
+      CheckAccess(id, request, now, out);
+  if (!access)
+    return;
   request.phase = request_phase::kSent;
   request.attempt = StartAttempt(request, to, predicted, now);
   request.hedge_at = HedgeTime(request, now);
+  if (request.attempts == 1)
+    shares_.RecordSend(request.customer, now.steady);
   Log(out, "placed",
       {{"request", request.caller_request_id},
        {"route", request.route->name.value()},
@@ -461,8 +467,8 @@
        {"predicted_ms", fmt::format("{}", predicted.count())},
        {"left_ms", fmt::format("{}", timeout.count())},
        {"config", fmt::format("{}", request.config->version.value())}});
-  out.emplace_back(
-      send_attempt{id, to.server, timeout, request.attempt.number});
+  out.emplace_back(send_attempt{id, to.server, timeout, request.attempt.number,
+                                access->header, access->valid_until});
 }
 
 milliseconds dispatcher::impl::RetryAfter(const request_state& request,
