--- a/apps/entry/entry_host.h
+++ b/apps/entry/entry_host.h
@@ -2,6 +2,7 @@
 #ifndef APPS_ENTRY_ENTRY_HOST_H_
 #define APPS_ENTRY_ENTRY_HOST_H_
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
   incarnation_id incarnation_;
   std::atomic<bool> has_config_ = false;
   std::atomic<bool> is_draining_ = false;
+  // By dispatch::hedge_event.
+  std::array<std::atomic<std::uint64_t>, 3> hedge_counts_{};
   statistics::request_statistics statistics_;
   // Requests rejected in favour of more urgent ones; used by dispatch only.
   std::map<pool_id, std::uint64_t> rejected_in_favour_;
--- a/apps/entry/entry_settings.h
+++ b/apps/entry/entry_settings.h
@@ -51,6 +51,11 @@
   // process's limit.
   std::uint64_t memory_mb = limits::kDefaultMemoryMb;
   std::uint64_t max_descriptors = 0;
+  // Whether capacity is reserved for urgent requests in pools that routes of
+  // different priority share.
+  bool has_shared_pools = false;
+  // Shares of requests that may get a hedged attempt.
+  dispatch::hedge_shares hedging;
   // Whether operators may order moves to new versions. Off without a limit on
   // the exposure of new versions.
   bool has_moves = true;
--- a/packages/dispatch/include/dotterellead/dispatch.h
+++ b/packages/dispatch/include/dotterellead/dispatch.h
@@ -191,21 +191,31 @@
   customer_id customer;
 };
 
-// Sends the request to a server. Ends with one attempt_ended.
+// Sends the request to a server. Ends with one attempt_ended, unless the
+// attempt is cancelled.
 struct send_attempt {
   request_id request;
   server_ref server;
   // Time within which the server must respond.
   milliseconds timeout{0};
+  // Counts the request's attempts from 1. Two can be in progress at a time.
   int attempt_number = 0;
   customer_header customer;
   // The attempt must not begin at this time or later.
   std::optional<boot_time> not_after;
 };
 
-// Delivers the response of the last attempt to the caller unchanged.
+// Cancels one attempt of a request, while another one is in progress or was
+// delivered.
+struct cancel_attempt {
+  request_id request;
+  int attempt_number = 0;
+};
+
+// Delivers the response of an attempt to the caller unchanged.
 struct deliver_response {
   request_id request;
+  int attempt_number = 0;
 };
 
 enum class reject_reason {
@@ -311,6 +321,13 @@
   int favoured = 0;
 };
 
+enum class hedge_event { kSent, kWon, kLost };
+
+// A hedged attempt was sent, or ended: it delivered the response, or did not.
+struct hedge_changed {
+  hedge_event event = hedge_event::kSent;
+};
+
 // One line of the decision log.
 struct decision {
   std::string event;
@@ -319,6 +336,18 @@
 
 // ---- State machine
 
+// Largest share of a pool's requests that get a hedged attempt, from 0 (off) to
+// 1. The share of a route goes before that of a pool, and that of a pool before
+// the general one.
+struct hedge_shares {
+  double all = 0;
+  std::map<pool_id, double> by_pool;
+  std::map<catalog::route_name, double> by_route;
+  bool is_enabled() const {
+    return all > 0 || !by_pool.empty() || !by_route.empty();
+  }
+};
+
 struct dispatch_settings {
   member_id self;
   data_centre_id data_centre;
@@ -336,6 +365,7 @@
   // Whether capacity is reserved in pools that routes of different priority
   // share.
   bool has_shared_pools = true;
+  hedge_shares hedging;
   std::uint64_t seed = 1;
   access::age_limits age_limits;
 };
@@ -358,6 +388,7 @@
                                tick>;
   using effect = std::variant<probe_servers,
                               send_attempt,
+                              cancel_attempt,
                               deliver_response,
                               reject_request,
                               cancel_request,
@@ -368,6 +399,7 @@
                               request_completed,
                               pools_reported,
                               rejected_in_favour,
+                              hedge_changed,
                               decision>;
 
   explicit dispatcher(dispatch_settings settings);
--- a/packages/dispatch/src/probing.cc
+++ b/packages/dispatch/src/probing.cc
@@ -232,6 +232,13 @@
     HandleCrashCheck(fingerprint, m, now, out);
     return;
   }
+  if (auto hedge = hedge_probes_.find(m.request);
+      hedge != hedge_probes_.end()) {
+    const request_id request = hedge->second;
+    hedge_probes_.erase(hedge);
+    HandleHedgeProbes(request, m, now, out);
+    return;
+  }
   auto it = requests_.find(m.request);
   if (it == requests_.end() || it->second.phase != request_phase::kProbing)
     return;
@@ -316,8 +323,10 @@
 std::uint32_t dispatcher::impl::OwnRequestsOn(const server_id& server) const {
   return static_cast<std::uint32_t>(
       std::count_if(requests_.begin(), requests_.end(), [&](const auto& entry) {
-        return entry.second.phase == request_phase::kSent &&
-               entry.second.server == server;
+        const request_state& request = entry.second;
+        return request.phase == request_phase::kSent &&
+               (request.attempt.server == server ||
+                (request.hedge && request.hedge->server == server));
       }));
 }
 
@@ -418,6 +427,26 @@
     Enqueue(id, request, now, out);
 }
 
+dispatcher::impl::sent_attempt dispatcher::impl::StartAttempt(
+    request_state& request,
+    const candidate& to,
+    milliseconds predicted,
+    const timestamp& now) {
+  request.tried_servers.insert(to.server.id);
+  std::deque<time_point>& attempts = own_attempts_[to.server.id];
+  while (!attempts.empty() && attempts.front() + kAttemptHistory < now.steady)
+    attempts.pop_front();
+  attempts.push_back(now.steady);
+  ++request.attempts;
+  return {++request.last_attempt_number,
+          to.server.id,
+          to.server.started_at,
+          catalog_->servers.at(to.server.id).version,
+          to.load,
+          predicted,
+          now.steady};
+}
+
 void dispatcher::impl::SendAttempt(request_id id,
                                    request_state& request,
                                    const candidate& to,
@@ -438,18 +467,8 @@
   if (!access)
     return;
   request.phase = request_phase::kSent;
-  request.server = to.server.id;
-  request.server_started_at = to.server.started_at;
-  request.server_version = catalog_->servers.at(to.server.id).version;
-  request.load_at_send = to.load;
-  request.sent_at = now.steady;
-  request.predicted_latency = predicted;
-  request.tried_servers.insert(to.server.id);
-  std::deque<time_point>& attempts = own_attempts_[to.server.id];
-  while (!attempts.empty() && attempts.front() + kAttemptHistory < now.steady)
-    attempts.pop_front();
-  attempts.push_back(now.steady);
-  ++request.attempts;
+  request.attempt = StartAttempt(request, to, predicted, now);
+  request.hedge_at = HedgeTime(request, now);
   if (request.attempts == 1)
     shares_.RecordSend(request.customer, now.steady);
   Log(out, "placed",
@@ -468,7 +487,7 @@
   if (const auto count =
           request.counted.RecordSend(request.customer, now.steady))
     out.emplace_back(*count);
-  out.emplace_back(send_attempt{id, to.server, timeout, request.attempts,
+  out.emplace_back(send_attempt{id, to.server, timeout, request.attempt.number,
                                 access->header, access->valid_until});
 }
 
--- a/packages/dispatch/src/routing.cc
+++ b/packages/dispatch/src/routing.cc
@@ -92,6 +92,7 @@
   auto [budget, is_new] = retry_budgets_.try_emplace(
       request.pool, settings_.retry_ratio, settings_.retry_window);
   budget->second.RecordRequest(now.steady);
+  hedges_.RecordRequest(request.pool, now.steady);
   if (catalog_->config->has_customers)
     shares_.RecordArrival(request.customer, now.steady);
   auto [it, inserted] = requests_.emplace(m.request, std::move(request));
