--- a/packages/usage/include/dotterellead/usage.h
+++ b/packages/usage/include/dotterellead/usage.h
@@ -18,20 +18,12 @@
 
 // ---- Time
 
-// A clock that also counts while the machine is suspended (CLOCK_BOOTTIME).
-// The steady clock does not, so that a host which was suspended would believe
-// that it has just appended to the log.
-struct boot_clock {
-  using duration = milliseconds;
-  using rep = duration::rep;
-  using period = duration::period;
-  using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;  // NOLINT: standard name
-};
-using boot_time = boot_clock::time_point;
+// By the clock that also counts while the machine is suspended. With the steady
+// clock, a host that was suspended would believe that it has just appended.
+using boot_millis = std::chrono::time_point<boot_clock, milliseconds>;
 
 struct moment {
-  boot_time boot;
+  boot_millis boot;
   unix_millis wall;
 };
 
@@ -45,7 +37,7 @@
   std::optional<milliseconds> offset_;
   // A step that is not followed yet, and since when it has lasted.
   std::optional<milliseconds> step_;
-  boot_time step_since_;
+  boot_millis step_since_;
 };
 
 // Window k begins k periods after 1970-01-01 UTC.
@@ -285,7 +277,7 @@
   std::string subject;
   std::string body;
   // The call must not begin later.
-  boot_time not_after;
+  boot_millis not_after;
 };
 using leader_action = std::variant<read_log, append_record, make_call>;
 
@@ -348,17 +340,17 @@
   phase phase_ = phase::kFollowing;
   bool is_busy_ = false;
   std::optional<fencing_token> token_;
-  boot_time retry_at_;
+  boot_millis retry_at_;
   // When the first call is permitted.
-  boot_time leads_from_;
+  boot_millis leads_from_;
   // When the last successful append was sent.
-  std::optional<boot_time> appended_at_;
-  boot_time append_sent_at_;
+  std::optional<boot_millis> appended_at_;
+  boot_millis append_sent_at_;
   std::string append_;
   // The newest takeover of the log when this host first tried to take over.
   std::optional<std::optional<fencing_token>> attempted_over_;
   // When the log last had a new record of the leader that replaced this host.
-  boot_time record_seen_at_;
+  boot_millis record_seen_at_;
   bool has_new_records_ = false;
   std::optional<window_report> report_;
 };
--- a/packages/usage/src/leader.cc
+++ b/packages/usage/src/leader.cc
@@ -29,7 +29,7 @@
   token_.reset();
   report_.reset();
   attempted_over_.reset();
-  retry_at_ = boot_time();
+  retry_at_ = boot_millis();
 }
 
 void leader::SetOtherToken(fencing_token token) {
--- a/packages/usage/tests/usage_test.cc
+++ b/packages/usage/tests/usage_test.cc
@@ -83,7 +83,7 @@
   constexpr milliseconds kStep{5'000};
   const auto read = [&clock](int s, milliseconds error) {
     const milliseconds elapsed(1'000 * s);
-    return clock.Read({boot_time(elapsed), At((elapsed + error).count())})
+    return clock.Read({boot_millis(elapsed), At((elapsed + error).count())})
                .wall.value -
            At(elapsed.count()).value;
   };
--- a/packages/usage/tests/usage_world.h
+++ b/packages/usage/tests/usage_world.h
@@ -56,7 +56,7 @@
   milliseconds late_by{0};
 
   struct call {
-    boot_time at;
+    boot_millis at;
     std::string host;
     std::uint64_t token;
     std::string body;
@@ -64,7 +64,7 @@
   std::vector<call> calls;
   // Window to body, and window to the time of the first effect.
   std::map<std::string, std::string> bodies;
-  std::map<std::uint64_t, boot_time> reported_at;
+  std::map<std::uint64_t, boot_millis> reported_at;
   std::vector<call> delayed;
   std::uint64_t highest = 0;
   std::map<std::uint64_t, std::string> holders;
@@ -80,7 +80,7 @@
     }
     return Execute(c);
   }
-  void RunDelayed(boot_time now) {
+  void RunDelayed(boot_millis now) {
     for (std::size_t i = 0; i < delayed.size();)
       if (delayed[i].at <= now) {
         Execute(delayed[i]);
@@ -150,7 +150,7 @@
   fake_log log;
   fake_service service;
   std::map<std::string, std::unique_ptr<fake_host>> hosts;
-  boot_time now{milliseconds(500'000)};
+  boot_millis now{milliseconds(500'000)};
 
   std::int64_t Wall() const {
     return kStart + (now.time_since_epoch().count() - 500'000);
@@ -185,7 +185,7 @@
   // Runs for `duration` in steps of 100 ms; each host gets a request of
   // customer c in each step.
   void Run(milliseconds duration) {
-    for (const boot_time end = now + duration; now < end;
+    for (const boot_millis end = now + duration; now < end;
          now += milliseconds(100)) {
       service.RunDelayed(now);
       for (auto& [name, host] : hosts)
@@ -264,7 +264,7 @@
     }
     return missing;
   }
-  static std::int64_t TrueWall(boot_time at) {
+  static std::int64_t TrueWall(boot_millis at) {
     return kStart + (at.time_since_epoch().count() - 500'000);
   }
 };
