--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -4,9 +4,12 @@
 
 #include <fmt/core.h>
 
+#include <cmath>
 #include <random>
 #include <set>
 
+#include "dotterellead/descriptors.h"
+
 namespace dotterellead::entry {
 
 namespace {
@@ -49,6 +52,11 @@
 entry_host::entry_host(entry_settings settings)
     : settings_(std::move(settings)),
       incarnation_(static_cast<std::uint64_t>(clock_.Now().wall.value)) {
+  for (const char* name :
+       {"pool_view_shared", "pool_view_age_ms", "pool_offered_work_ms",
+        "pool_completed_work_ms", "pool_reserved_slots",
+        "pool_rejected_in_favour_total"})
+    statistics_.DeclarePoolGauge(name);
   MakeDispatcher();
   MakeTraffic();
   MakeMoves();
@@ -84,6 +92,12 @@
   t.metrics_address = settings_.metrics_address;
   t.metrics_text = [this] { return MetricsText(); };
   t.headers = adapter::HeaderNames();
+  t.memory = {(settings_.memory_mb << 20) * limits::kBudgetPercent / 100};
+  t.max_buffered_responses = {
+      std::min(limits::kMaxBufferedResponseBytes, t.memory.value / 2)};
+  const std::uint64_t descriptors = AllDescriptors(settings_.max_descriptors);
+  t.max_caller_connections = CallerShareOfDescriptors(descriptors);
+  t.max_server_connections = ServerShareOfDescriptors(descriptors);
   traffic_ = std::make_unique<traffic::traffic_service>(
       std::move(t), [this](dispatch::dispatcher::message m) {
         return dispatcher_->Post(std::move(m));
@@ -98,6 +112,10 @@
   statistics_.SetGauge("unexpected_errors_total", UnexpectedErrorCount());
   statistics_.SetGauge("buffered_response_bytes",
                        counts.buffered_response_bytes);
+  statistics_.SetGauge("held_bytes", counts.held_bytes);
+  statistics_.SetGauge("rejected_for_memory_total", counts.rejected_for_memory);
+  statistics_.SetGauge("evicted_requests_total", counts.evicted_requests);
+  statistics_.SetGauge("closed_callers_total", counts.closed_callers);
   statistics_.SetGauge("open_callers", counts.open_caller_connections);
   statistics_.SetGauge("open_calls", counts.open_requests);
   statistics_.SetGauge(
@@ -169,6 +187,9 @@
   callbacks.on_crash = [this](request_fingerprint fingerprint) {
     Post(*dispatcher_, dispatch::crash_reported{fingerprint});
   };
+  callbacks.on_pools = [this](pools::pool_table totals) {
+    Post(*dispatcher_, dispatch::pool_view_changed{std::move(totals)});
+  };
   fleet_ =
       std::make_unique<fleet::fleet_duty>(std::move(f), std::move(callbacks));
 }
@@ -274,11 +295,35 @@
                  std::get_if<dispatch::customer_counted>(&effect)) {
     if (usage_)
       usage_->Count(count->customer, count->change, count->sent_at);
+  } else if (auto* report = std::get_if<dispatch::pools_reported>(&effect)) {
+    ReportPools(*report);
+  } else if (const auto* rejected =
+                 std::get_if<dispatch::rejected_in_favour>(&effect)) {
+    ++rejected_in_favour_[rejected->pool];
   } else {
     traffic_->Execute(std::move(effect));
   }
 }
 
+void entry_host::ReportPools(dispatch::pools_reported& report) {
+  for (const auto& [pool, status] : report.status) {
+    const auto set = [&](std::string_view name, double value) {
+      statistics_.SetPoolGauge(name, pool.value(),
+                               static_cast<std::uint64_t>(value));
+    };
+    constexpr double kMillis = 1'000;
+    const pools::priority_load all = status.load.Total();
+    set("pool_view_shared", status.is_view_shared ? 1 : 0);
+    set("pool_view_age_ms", static_cast<double>(status.age.count()));
+    set("pool_offered_work_ms", all.offered_work * kMillis);
+    set("pool_completed_work_ms", all.completed_work * kMillis);
+    set("pool_reserved_slots", std::ceil(status.reserved_slots));
+    set("pool_rejected_in_favour_total",
+        static_cast<double>(rejected_in_favour_[pool]));
+  }
+  fleet_->ReportPools(std::move(report.own));
+}
+
 void entry_host::Execute(moves::move_machine::effect& effect) {
   std::visit(
       overloaded{[this](moves::stages_changed& changed) {
--- a/packages/dispatch/src/routing.cc
+++ b/packages/dispatch/src/routing.cc
@@ -95,6 +95,18 @@
   if (catalog_->config->has_customers)
     shares_.RecordArrival(request.customer, now.steady);
   auto [it, inserted] = requests_.emplace(m.request, std::move(request));
+  const int priority = it->second.priority;
+  shared_pools_.RecordOffered(it->second.pool, priority,
+                              ServiceTimeOf(*it->second.route).value(),
+                              now.steady);
+  const double admitted =
+      shared_pools_.PlanFor(it->second.pool, priority).admitted_share;
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (admitted < 1 && draw(random_) >= admitted) {
+    it->second.is_held_back = true;
+    Reject(m.request, it->second, reject_reason::kNoCapacity, now, out);
+    return;
+  }
   StartProbing(m.request, it->second, now, out);
 }
 
--- a/packages/fleet/src/children.cc
+++ b/packages/fleet/src/children.cc
@@ -62,6 +62,7 @@
   if (request.is_inquiry)
     return;
   children_[request.self.name] = {request.self, request.descendants, now};
+  pools_.RecordChild(request.self.name, request.pools, now);
   // Updates of a child prove nothing: its clock is not this host's.
   HandleUpdates(request.updates, std::nullopt);
   StartPushToParent();
@@ -101,7 +102,7 @@
 }
 
 sync_response fleet_duty::impl::MakeResponse(const sync_request& request,
-                                             boot_time arrived_at) const {
+                                             boot_time arrived_at) {
   sync_response response;
   response.self = settings_.self;
   if (request.hosts_version != hosts_version_)
@@ -122,6 +123,8 @@
   response.crash_events = CrashEventsSince(request.events_version);
   response.events_version = events_version_;
   response.leader_token = leader_token_;
+  response.pools =
+      pools_.RowsFor(request.self.name, pools_.Totals(is_root_, now), now);
   return response;
 }
 
--- a/packages/fleet/src/fleet_impl.h
+++ b/packages/fleet/src/fleet_impl.h
@@ -11,6 +11,7 @@
 #include "dotterellead/mailbox.h"
 #include "dotterellead/spawn.h"
 #include "host_directory.h"
+#include "pool_exchange.h"
 #include "proof.h"
 #include "usage_relay.h"
 
@@ -53,12 +54,16 @@
 struct report_counters {
   moves::counter_table counters;
 };
+struct report_pools {
+  pools::pool_table own;
+};
 using command = std::variant<update_batch,
                              std::vector<moves::stage>,
                              report_counters,
                              report_crash,
                              std::vector<usage::host_report>,
-                             usage::fencing_token>;
+                             usage::fencing_token,
+                             report_pools>;
 
 // Version of a list, derived from a hash of its contents. Fits into a JSON
 // number without loss.
@@ -143,8 +148,7 @@
 
   task<> WaitForChanges(const sync_request& request);
 
-  sync_response MakeResponse(const sync_request& request,
-                             boot_time arrived_at) const;
+  sync_response MakeResponse(const sync_request& request, boot_time arrived_at);
 
   stream_updates UpdatesSince(stream source,
                               log_offset end_offset,
@@ -238,6 +242,7 @@
   std::vector<host_info> live_hosts_;
   std::uint64_t hosts_version_ = 0;
   bool is_root_ = false;
+  pool_exchange pools_;
 
   std::unique_ptr<control_client> parent_connection_;
   // For updates that cannot wait until `parent_connection_` is free.
--- a/packages/fleet/tests/codec_fuzz_test.cc
+++ b/packages/fleet/tests/codec_fuzz_test.cc
@@ -28,6 +28,7 @@
               incarnation_id(4),
               usage::window_number(5),
               {{customer_id("c"), 2}, {customer_id("d"), 3}}}};
+  r.pools[{pool_id("p"), data_centre_id("z")}].by_priority[2] = {1, 2, 3, 4, 5};
   r.max_wait = milliseconds(400);
   return r;
 }
@@ -44,6 +45,7 @@
   a.stages = {s};
   a.crash_events = FullRequest().crash_events;
   a.leader_token = usage::fencing_token(12);
+  a.pools = FullRequest().pools;
   return a;
 }
 
--- a/packages/fleet/tests/external_names_test.cc
+++ b/packages/fleet/tests/external_names_test.cc
@@ -24,6 +24,7 @@
                     incarnation_id(1),
                     usage::window_number(5),
                     {{customer_id("c"), 2}}}};
+  request.pools[{pool_id("p"), data_centre_id("z")}].by_priority[0] = {1};
   request.is_inquiry = true;
   sync_response response;
   response.self = request.self;
