--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -52,11 +52,12 @@
 entry_host::entry_host(entry_settings settings)
     : settings_(std::move(settings)),
       incarnation_(static_cast<std::uint64_t>(clock_.Now().wall.value)) {
-  for (const char* name :
-       {"pool_view_shared", "pool_view_age_ms", "pool_offered_work_ms",
-        "pool_completed_work_ms", "pool_reserved_slots",
-        "pool_rejected_in_favour_total"})
-    statistics_.DeclarePoolGauge(name);
+  statistics_.DeclarePoolGauge("pool_view_shared");
+  statistics_.DeclarePoolGauge("pool_view_age_ms");
+  statistics_.DeclarePoolGauge("pool_offered_work_ms");
+  statistics_.DeclarePoolGauge("pool_completed_work_ms");
+  statistics_.DeclarePoolGauge("pool_reserved_slots");
+  statistics_.DeclarePoolGauge("pool_rejected_in_favour_total");
   MakeDispatcher();
   MakeTraffic();
   MakeMoves();
