--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -236,7 +236,8 @@
       caller_keep_alive && !is_draining_ && !outcome->must_close;
   const bool is_written =
       co_await WriteToCaller(stream, std::move(*outcome), is_head, keep_alive);
-  co_return is_written&& keep_alive;
+  const bool is_reusable = is_written && keep_alive;
+  co_return is_reusable;
 }
 
 task<bool> traffic_service::impl::WriteToCaller(
