--- a/apps/entry/entry_host.cc
+++ b/apps/entry/entry_host.cc
@@ -315,7 +315,9 @@
 }
 
 void entry_host::ReportPools(dispatch::pools_reported& report) {
-  for (const auto& [pool, status] : report.status) {
+  for (const auto& entry : report.status) {
+    const pool_id& pool = entry.first;
+    const dispatch::pool_status& status = entry.second;
     const auto set = [&](std::string_view name, double value) {
       statistics_.SetPoolGauge(name, pool.value(),
                                static_cast<std::uint64_t>(value));
--- a/packages/traffic/tests/traffic_fixture.h
+++ b/packages/traffic/tests/traffic_fixture.h
@@ -68,6 +68,8 @@
   }
   ~traffic_fixture() { service.Stop(); }
 
+  static constexpr int kAttemptNumber = 1;
+
   template <class Message>
   void On(Message&) {}
   void On(dispatch::request_arrived& m) {
@@ -83,14 +85,14 @@
         m.request,
         {server_id("s-1"), {0x7f000001, kServerPort}, "/health", 4},
         milliseconds(1'000),
-        1,
+        kAttemptNumber,
         {},
         not_after});
   }
   void On(dispatch::attempt_ended& m) {
     results.push_back(m.result);
     if (m.result == dispatch::attempt_result::kResponded)
-      service.Execute(dispatch::deliver_response{m.request});
+      service.Execute(dispatch::deliver_response{m.request, kAttemptNumber});
     else
       service.Execute(dispatch::reject_request{
           m.request, dispatch::reject_reason::kServerFailed, std::nullopt});
