--- a/packages/fleet/src/usage_relay.cc
+++ b/packages/fleet/src/usage_relay.cc
@@ -11,7 +11,9 @@
 }  // namespace
 
 void usage_relay::Add(std::vector<usage::host_report> reports) {
-  for (usage::host_report& report : reports) {
+  // clang-tidy does not see that the elements are moved.
+  std::vector<usage::host_report> added = std::move(reports);
+  for (usage::host_report& report : added) {
     key k{report.window, report.host, report.incarnation};
     reports_.try_emplace(std::move(k), std::move(report));
   }
