--- a/packages/traffic/tests/caller_limits_test.cc
+++ b/packages/traffic/tests/caller_limits_test.cc
@@ -85,8 +85,8 @@
                             [] { return std::string(); },
                             Names()};
   settings.max_caller_connections = 4;
-  traffic_service service(settings,
-                          [](dispatch::dispatcher::message) { return true; });
+  traffic_service service(
+      settings, [](const dispatch::dispatcher::message&) { return true; });
   service.Start();
   std::vector<test_socket> idle;
   for (int i = 0; i < 6; ++i) {
