Read the whole request in the stand-in of the HTTP tests

Cause: the stand-in replied and closed its connection after the first part of a request.

Change: it reads until the end of the header. The checks are unchanged.

--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -288,8 +288,15 @@
   }
   void Serve() {
     for (int c; (c = accept(fd, nullptr, nullptr)) >= 0;) {
+      // Reads the whole header: bytes that are unread when the connection is
+      // closed would reset it, and the reply could be lost.
+      std::string request;
       char part[4096];
-      if (recv(c, part, sizeof(part), 0) > 0) {
+      ssize_t received = 0;
+      while (request.find("\r\n\r\n") == std::string::npos &&
+             (received = recv(c, part, sizeof(part), 0)) > 0)
+        request.append(part, static_cast<std::size_t>(received));
+      if (received > 0) {
         ++requests;
         send(c, reply.data(), reply.size(), MSG_NOSIGNAL);
         if (late_reply) {
