--- a/review/standins-2/case_flood.cc
+++ b/review/standins-2/case_flood.cc
@@ -17,7 +17,7 @@
 constexpr int kConnectionsPerThread = 700;
 // One connection of so many asks for the ordinary route.
 constexpr int kOrdinaryEvery = 4;
-constexpr std::chrono::seconds kFloodLength{8};
+constexpr std::chrono::seconds kFloodLength{12};
 constexpr std::chrono::seconds kCalmBefore{4};
 // `recoverS` of the settings.
 constexpr std::chrono::seconds kRecover{15};
