--- a/packages/net/include/dotterellead/control_client.h
+++ b/packages/net/include/dotterellead/control_client.h
@@ -20,6 +20,8 @@
   // Body of the response; the error message if there was none.
   std::string body;
   http::fields headers;
+  // Whether the connection was kept from an earlier request.
+  bool was_kept = false;
   // Value of a header; empty if it is absent.
   std::string_view Header(std::string_view name) const;
 };
--- a/packages/net/src/control_client.cc
+++ b/packages/net/src/control_client.cc
@@ -34,6 +34,8 @@
     milliseconds timeout) {
   error_code ec;
   const time_point deadline = std::chrono::steady_clock::now() + timeout;
+  control_response response;
+  response.was_kept = stream_ != nullptr;
   if (!stream_) {
     stream_ = std::make_unique<beast::tcp_stream>(io_);
     buffer_.clear();
@@ -42,7 +44,6 @@
     if (!ec)
       stream_->socket().set_option(tcp::no_delay(true), ec);
   }
-  control_response response;
   if (!ec) {
     stream_->expires_at(deadline);
     http::request<http::string_body> request(verb, target, 11);
