Do not use an idle connection to the store or to a host for long; repeat a GET on a new one

Callers saw requests run by the old service, or refused, for up to 2.85 s after a change was acknowledged (bound 2 s) at hosts that had lost their root.

Cause: control_client kept its connection without limit. A host other than the root reads the store only when its data grows old, so the store has closed, or the network has forgotten, the connection by then. The read fails without having reached the store, counts as an outage of it, and the host pauses for 2.2 s; an outage also keeps removed servers for 2.3 s. The same client carries the updates that a host pushes to its parent, which closes after 5 s.

Change: a connection that was idle for 1 s is replaced, and a GET whose kept connection ends before any byte of the response is sent once more within the same time. Other requests are never repeated. Readers of the store that wait there are never idle that long.

--- a/packages/net/src/control_client.cc
+++ b/packages/net/src/control_client.cc
@@ -1,5 +1,7 @@
 #include "dotterellead/control_client.h"
 
+#include <optional>
+
 #include "dotterellead/read_message.h"
 
 namespace dotterellead {
@@ -32,46 +34,69 @@
     const std::string& body,
     const std::vector<control_header>& headers,
     milliseconds timeout) {
-  error_code ec;
   const time_point deadline = std::chrono::steady_clock::now() + timeout;
+  request_message request(verb, target, 11);
+  request.set(http::field::host, to_string(server_));
+  if (!body.empty() && body.front() == '{')
+    request.set(http::field::content_type, "application/json");
+  for (const control_header& header : headers)
+    request.set(header.name, header.value);
+  request.body() = body;
+  request.prepare_payload();
+
+  if (std::chrono::steady_clock::now() > last_used_ + kMaxIdle)
+    stream_.reset();
   control_response response;
-  response.was_kept = stream_ != nullptr;
-  if (!stream_) {
-    stream_ = std::make_unique<beast::tcp_stream>(io_);
-    buffer_.clear();
-    stream_->expires_at(deadline);
-    co_await stream_->async_connect(ToTcp(server_), Resume(ec));
+  std::optional<response_parser> parser;
+  error_code ec;
+  while (true) {
+    response.was_kept = stream_ != nullptr;
+    ec = {};
+    if (!stream_)
+      co_await Connect(deadline, ec);
+    parser.emplace();
+    parser->body_limit(kMaxResponseBytes);
     if (!ec)
-      stream_->socket().set_option(tcp::no_delay(true), ec);
-  }
-  if (!ec) {
-    stream_->expires_at(deadline);
-    http::request<http::string_body> request(verb, target, 11);
-    request.set(http::field::host, to_string(server_));
-    if (!body.empty() && body.front() == '{')
-      request.set(http::field::content_type, "application/json");
-    for (const control_header& header : headers)
-      request.set(header.name, header.value);
-    request.body() = body;
-    request.prepare_payload();
-    co_await http::async_write(*stream_, request, Resume(ec));
+      co_await Exchange(request, deadline, *parser, ec);
+    const bool is_repeatable = response.was_kept && verb == http::verb::get &&
+                               ec != beast::error::timeout &&
+                               !parser->got_some() && buffer_.size() == 0;
+    if (!ec || !is_repeatable)
+      break;
+    stream_.reset();
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
-  if (!ec)
-    co_await ReadMessage(*stream_, buffer_, parser, ec);
   if (ec) {
     response.body = ec.message();
     stream_.reset();
     co_return response;
   }
-  response.status = static_cast<int>(parser.get().result_int());
-  const bool is_keep_alive = parser.get().keep_alive();
-  response.body = std::move(parser.get().body());
-  response.headers = std::move(parser.get().base());
+  last_used_ = std::chrono::steady_clock::now();
+  response.status = static_cast<int>(parser->get().result_int());
+  const bool is_keep_alive = parser->get().keep_alive();
+  response.body = std::move(parser->get().body());
+  response.headers = std::move(parser->get().base());
   if (!is_keep_alive)
     stream_.reset();
   co_return response;
 }
 
+task<> control_client::Connect(time_point deadline, error_code& ec) {
+  stream_ = std::make_unique<beast::tcp_stream>(io_);
+  buffer_.clear();
+  stream_->expires_at(deadline);
+  co_await stream_->async_connect(ToTcp(server_), Resume(ec));
+  if (!ec)
+    stream_->socket().set_option(tcp::no_delay(true), ec);
+}
+
+task<> control_client::Exchange(const request_message& request,
+                                time_point deadline,
+                                response_parser& parser,
+                                error_code& ec) {
+  stream_->expires_at(deadline);
+  co_await http::async_write(*stream_, request, Resume(ec));
+  if (!ec)
+    co_await ReadMessage(*stream_, buffer_, parser, ec);
+}
+
 }  // namespace dotterellead
--- a/packages/net/tests/net_test.cc
+++ b/packages/net/tests/net_test.cc
@@ -47,6 +47,72 @@
   tcp::acceptor acceptor_;
 };
 
+// Answers the first request of each connection; the second one ends it, after
+// `last_bytes`.
+class forgetful_server {
+ public:
+  explicit forgetful_server(std::string last_bytes = {})
+      : last_bytes_(std::move(last_bytes)),
+        acceptor_(loop_.io(), ToTcp(kAddress)) {
+    SpawnLoop(loop_.io(), "test", [this] { return Accept(); });
+    loop_.Start("test");
+  }
+  ~forgetful_server() { loop_.Stop(); }
+  int connections() const { return connections_; }
+  int requests() const { return requests_; }
+
+ private:
+  task<> Accept() {
+    while (true) {
+      error_code ec;
+      auto stream = std::make_shared<beast::tcp_stream>(loop_.io());
+      co_await acceptor_.async_accept(stream->socket(), Resume(ec));
+      ++connections_;
+      Spawn(loop_.io(), "test", Serve(std::move(stream)));
+    }
+  }
+
+  task<> Serve(std::shared_ptr<beast::tcp_stream> stream) {
+    const std::string answers[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", last_bytes_};
+    beast::flat_buffer buffer;
+    error_code ec;
+    for (const std::string& answer : answers) {
+      http::request<http::string_body> request;
+      co_await http::async_read(*stream, buffer, request, Resume(ec));
+      if (ec)
+        co_return;
+      ++requests_;
+      co_await asio::async_write(*stream, asio::buffer(answer), Resume(ec));
+    }
+  }
+
+  const std::string last_bytes_;
+  std::atomic<int> connections_ = 0;
+  std::atomic<int> requests_ = 0;
+  event_loop loop_;
+  tcp::acceptor acceptor_;
+};
+
+// Sends two requests, the second one after a pause.
+control_response SendTwice(http::verb verb, milliseconds pause) {
+  asio::io_context io;
+  control_client client(io, kAddress);
+  control_response response;
+  const std::string target = "/x";
+  const std::string no_body;
+  const auto send = [&]() -> task<> {
+    response = co_await client.Send(verb, target, no_body, milliseconds(2'000));
+    asio::steady_timer timer(io, pause);
+    error_code ec;
+    co_await timer.async_wait(Resume(ec));
+    response = co_await client.Send(verb, target, no_body, milliseconds(2'000));
+  };
+  asio::co_spawn(io, send(), asio::detached);
+  io.run();
+  return response;
+}
+
 task<> Fetch(control_client& client,
              control_response& response,
              const std::string& body) {
@@ -95,6 +161,38 @@
   CHECK(server.last_request()["X-Name"] == "a");
 }
 
+TEST_CASE("a GET is sent again if its kept connection ends unanswered") {
+  const forgetful_server server;
+  CHECK(SendTwice(http::verb::get, milliseconds(0)).status == 200);
+  CHECK(server.connections() == 2);
+  CHECK(server.requests() == 3);
+}
+
+TEST_CASE("a request that may have taken effect is not sent again") {
+  const forgetful_server server;
+  CHECK(SendTwice(http::verb::post, milliseconds(0)).status == 0);
+  CHECK(server.requests() == 2);
+}
+
+TEST_CASE("a request is not sent again once a part of its response arrived") {
+  for (const char* part : {"H", "HTTP/1.1 200 OK\r\nContent-Le",
+                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na"}) {
+    CAPTURE(std::string(part));
+    const forgetful_server server(part);
+    CHECK(SendTwice(http::verb::get, milliseconds(0)).status == 0);
+    CHECK(server.requests() == 2);
+  }
+}
+
+TEST_CASE("a connection that was idle for long is not used again") {
+  const forgetful_server server;
+  CHECK(
+      SendTwice(http::verb::post, control_client::kMaxIdle + milliseconds(100))
+          .status == 200);
+  CHECK(server.connections() == 2);
+  CHECK(server.requests() == 2);
+}
+
 TEST_CASE("a handler that throws does not end the event loop") {
   const std::uint64_t before = UnexpectedErrorCount();
   event_loop loop;
