Show that header fields of callers exceed a host's memory

The crowd's configuration permits headers of 16 KB, as sites do. The kinds with bodies, whole, unfinished, beyond the limit and in chunks, keep their bounds.

--- a/tests/crowd/crowd_kinds.cc
+++ b/tests/crowd/crowd_kinds.cc
@@ -19,6 +19,9 @@
 // A body beyond the limit is this many times as large.
 constexpr std::size_t kBeyond = 4;
 constexpr std::size_t kLargeResponse = 400'000;
+constexpr std::size_t kManyFieldsClients = 150;
+// What a header leaves to the fields that precede the many.
+constexpr std::size_t kOwnFields = 400;
 
 // All clients of a run send the same bytes, which are kept once.
 shared_text Shared(std::size_t size, std::size_t chunk) {
@@ -60,6 +63,17 @@
           is_complete ? body->size() : body->size() - kEnd};
 }
 
+// A header of as many fields as its size permits, and a body that stops just
+// before its end.
+client_script ManyFields(const target_protocol& target, std::size_t client) {
+  constexpr std::size_t kBody = 10;
+  std::string header = target.start(client);
+  while (header.size() + kOwnFields < target.max_header)
+    header += "a:b\r\n";
+  header += fmt::format("Content-Length: {}\r\n\r\n", kBody);
+  return {std::move(header), Shared(kBody, 0), kBody - 1};
+}
+
 }  // namespace
 
 client_script WholeRequest(const target_protocol& target,
@@ -94,6 +108,7 @@
        [](const target_protocol& t, std::size_t i) {
          return Chunked(t, i, t.max_body, 1);
        }},
+      {"many_fields", kManyFieldsClients, ManyFields},
       {"slow_readers", kClients,
        [](const target_protocol& t, std::size_t i) {
          const std::string header =
--- a/tests/crowd/crowd_kinds.h
+++ b/tests/crowd/crowd_kinds.h
@@ -17,6 +17,7 @@
   // server echoes the body.
   std::string large_response;
   std::size_t max_body = 0;
+  std::size_t max_header = 0;
 };
 
 struct crowd_kind {
--- a/tests/crowd/entry_target.cc
+++ b/tests/crowd/entry_target.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kMaxBody = 390'000;
+constexpr std::size_t kMaxHeader = 16'384;
 constexpr int kServers = 2;
 
 // Ports from this one on; runs at the same time rarely meet.
@@ -49,7 +50,7 @@
                   "Attempt-Id: c-{0}\r\n",
                   client);
             },
-            "Soak-Answer-Bytes", kMaxBody};
+            "Soak-Answer-Bytes", kMaxBody, kMaxHeader};
   }
 
  private:
@@ -83,9 +84,9 @@
             R"(]}},"services":{{"columns":["name","healthPath",)"
             R"("maxConnections","warmupS","warmupPerS"],"rows":[)"
             R"(["first","/health",200,0,0]]}},"limits":{{)"
-            R"("maxHeaderBytes":8192,"maxBodyBytes":{},"headerTimeoutS":2,)"
+            R"("maxHeaderBytes":{},"maxBodyBytes":{},"headerTimeoutS":2,)"
             R"("idleTimeoutS":10}}}})",
-            kMaxBody));
+            kMaxHeader, kMaxBody));
   }
 
   task<> ReportServers() {
--- a/tests/crowd/standalone_target.cc
+++ b/tests/crowd/standalone_target.cc
@@ -23,7 +23,7 @@
                   "Idempotency-Key: {}\r\n",
                   client, harness::MakeKey());
             },
-            "", limits::kMaxBodyBytes};
+            "", limits::kMaxBodyBytes, limits::kMaxHeaderBytes};
   }
 
  private:
