Count the header fields of callers in a host's memory budget

Cause: the budget had a connection's buffers and a request's body, not the parsed header. A field of 5 bytes takes about 100, and once more for the server.

Change: a request's account holds its header from the moment it is parsed, and the trailers of a chunked body.

--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -47,6 +47,12 @@
 inline constexpr std::size_t kMaxCallerUnparsedBytes = 16 << 10;
 // What a caller's connection takes beside its buffer.
 inline constexpr std::size_t kCallerConnectionBytes = 8 << 10;
+// A parsed header field beside its name and value, and the copies of a
+// request's fields and of its start line: the caller's, the one for a server,
+// and what the dispatcher keeps.
+inline constexpr std::size_t kHeaderFieldBytes = 112;
+inline constexpr std::size_t kHeaderCopies = 2;
+inline constexpr std::size_t kStartLineCopies = 4;
 // Bytes in a socket's send buffer that the network has not taken.
 inline constexpr int kMaxUnsentBytes = 128 << 10;
 // Retry-After of a request that found no memory.
--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -204,9 +204,11 @@
       co_return false;
     buffer.commit(received);
   }
-  caller_parser parser;
+  std::optional<caller_parser> parser(std::in_place);
   if (const auto unread =
-          co_await ReadRequest(stream, buffer, account, parser)) {
+          co_await ReadRequest(stream, buffer, account, *parser)) {
+    // The header's memory is free before the rejection is written.
+    parser.reset();
     if (!unread->status)
       co_return false;
     LogEvent(log_level::kInfo, "caller-request-unreadable",
@@ -222,8 +224,8 @@
     co_await WriteToCaller(stream, std::move(rejection), false, false);
     co_return false;
   }
-  const bool is_chunked = parser.chunked();
-  auto request = std::make_shared<request_message>(parser.release());
+  const bool is_chunked = parser->chunked();
+  auto request = std::make_shared<request_message>(parser->release());
   const bool caller_keep_alive = request->keep_alive();
   const bool is_head = request->method() == http::verb::head;
   std::optional<caller_response> outcome =
--- a/packages/traffic/src/read_request.cc
+++ b/packages/traffic/src/read_request.cc
@@ -21,6 +21,18 @@
   return std::nullopt;
 }
 
+// What a request's header takes while the request is open. A short field takes
+// many times its size on the connection.
+std::size_t HeaderBytes(const caller_parser& parser) {
+  std::size_t fields = 0;
+  for (const auto& field : parser.get())
+    fields += limits::kHeaderFieldBytes + field.name_string().size() +
+              field.value().size();
+  const std::size_t start_line =
+      parser.get().method_string().size() + parser.get().target().size();
+  return limits::kHeaderCopies * fields + limits::kStartLineCopies * start_line;
+}
+
 // Timeout for reading that cancels the read without closing the connection,
 // unlike the stream's own timeout, so that a response can still be sent.
 class read_timeout {
@@ -100,14 +112,17 @@
     if (length > limits_.body_size.value)
       ec = http::error::body_limit;
     else if (!budget_.HasRoom(address, {length},
-                              std::chrono::steady_clock::now()))
+                              std::chrono::steady_clock::now()) ||
+             !blocks->ReserveHeader(HeaderBytes(parser)))
       co_return NoMemory();
   }
   if (!ec && !parser.is_done()) {
     blocks->account().SetEvict(
-        [weak = std::weak_ptr(blocks), stream] {
-          if (const auto held = weak.lock())
+        [weak = std::weak_ptr(blocks), stream, &parser] {
+          if (const auto held = weak.lock()) {
             held->Release();
+            parser.get().clear();
+          }
           stream->cancel();
         },
         std::chrono::steady_clock::now());
@@ -117,6 +132,9 @@
       co_return NoMemory();
     }
     blocks->account().SetEvict({}, std::chrono::steady_clock::now());
+    // A chunked body may end with further fields.
+    if (!ec && parser.chunked() && !blocks->ReserveHeader(HeaderBytes(parser)))
+      co_return NoMemory();
   }
   if (ec)
     co_return unread_request{StatusOfReadError(ec, true), ec.message()};
--- a/packages/traffic/src/request_body.h
+++ b/packages/traffic/src/request_body.h
@@ -39,15 +39,27 @@
     }
     return true;
   }
+  // Reserves `size` for the request's header beside the body, in place of what
+  // was reserved for it before. Returns false if the host has no room.
+  bool ReserveHeader(std::size_t size) {
+    const std::size_t reserved = reserved_ - header_size_ + size;
+    if (!account_.Resize({reserved}, std::chrono::steady_clock::now())) {
+      has_no_room_ = true;
+      return false;
+    }
+    reserved_ = reserved;
+    header_size_ = size;
+    return true;
+  }
   // Releases the memory; nothing can be appended from then on.
   void Release() {
     blocks_ = std::vector<block>();
-    size_ = free_ = reserved_ = 0;
+    size_ = free_ = reserved_ = header_size_ = 0;
     account_.Resize({0}, {});
   }
 
   memory_account& account() { return account_; }
-  // Whether an Append found no room.
+  // Whether an Append or a ReserveHeader found no room.
   bool has_no_room() const { return has_no_room_; }
   std::size_t size() const { return size_; }
   std::size_t block_count() const { return blocks_.size(); }
@@ -82,7 +94,9 @@
   std::vector<block> blocks_;
   std::size_t size_ = 0;
   std::size_t free_ = 0;
+  // What the account holds, the header included.
   std::size_t reserved_ = 0;
+  std::size_t header_size_ = 0;
   std::size_t expected_size_ = 0;
   bool has_no_room_ = false;
 };
--- a/packages/traffic/tests/host_budget_test.cc
+++ b/packages/traffic/tests/host_budget_test.cc
@@ -134,3 +134,21 @@
   body.Release();
   CHECK(budget.used().value == 0);
 }
+
+// Guards against many short fields that take a host beyond its memory.
+TEST_CASE("a request's header is in the budget beside its body") {
+  host_budget budget({{kMegabyte}, {kMegabyte / 2}});
+  body_blocks request(memory_account(budget, account_kind::kRequest, kCaller));
+  CHECK(request.ReserveHeader(100'000));
+  CHECK(request.Append("some bytes"));
+  const std::uint64_t with_body = budget.used().value;
+  CHECK(with_body > 100'000);
+  // Trailers make it larger.
+  CHECK(request.ReserveHeader(150'000));
+  CHECK(budget.used().value == with_body + 50'000);
+  CHECK_FALSE(request.ReserveHeader(2 * kMegabyte));
+  CHECK(request.has_no_room());
+  CHECK(budget.used().value == with_body + 50'000);
+  request.Release();
+  CHECK(budget.used().value == 0);
+}
