Standalone: end a header at the first field beyond the limit

Cause: the limit of 128 fields was checked after the library had parsed and kept the whole header, at about 130 bytes a field, in each of 96 threads.

Change: the stream counts the lines while the header is read, and ends it with the same 431. The limit itself is as before.

--- a/packages/http/src/listener.cc
+++ b/packages/http/src/listener.cc
@@ -103,10 +103,11 @@
 // Buffered reads and bounded waits over an accepted socket.
 class socket_stream : public httplib::Stream {
  public:
-  socket_stream(int socket, milliseconds timeout, byte_count max_header_bytes)
+  socket_stream(int socket, const http_listener_options& options)
       : socket_(socket),
-        timeout_(timeout),
-        max_header_bytes_(max_header_bytes) {}
+        timeout_(options.read_timeout),
+        max_header_bytes_(options.max_header_bytes),
+        max_header_lines_(options.max_headers + kOtherHeaderLines) {}
 
   bool WaitReadable(milliseconds timeout) const {
     if (begin_ < end_)
@@ -138,6 +139,7 @@
   // exceeds its limit. The body's includes its framing.
   void BeginHeaders() {
     BeginCount(max_header_bytes_);
+    header_lines_ = 0;
     body_begun_.reset();
   }
   void BeginBody(byte_count max_body) {
@@ -153,7 +155,7 @@
     }
     const size_t n = std::min(size, end_ - begin_);
     counted_bytes_ += n;
-    if (body_begun_ && !MayTakeBody())
+    if (!(body_begun_ ? MayTakeBody() : MayTakeHeader({&buffer_[begin_], n})))
       return -1;
     if (counted_bytes_ > max_counted_bytes_) {
       current_call->close_after = true;
@@ -191,6 +193,16 @@
     counted_bytes_ = 0;
     max_counted_bytes_ = max.value;
   }
+  // Whether the header has few enough lines so far: the library keeps each in
+  // many times its size.
+  bool MayTakeHeader(std::string_view bytes) {
+    header_lines_ +=
+        static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+    if (header_lines_ <= max_header_lines_)
+      return true;
+    RejectRecord(*current_call, 431, "too many headers; send fewer");
+    return false;
+  }
   // Whether the body arrives at the minimum rate and finds memory.
   bool MayTakeBody() const {
     const auto allowed =
@@ -231,6 +243,10 @@
   int socket_;
   milliseconds timeout_;
   byte_count max_header_bytes_;
+  // The request line and the empty one.
+  static constexpr std::size_t kOtherHeaderLines = 2;
+  std::size_t max_header_lines_;
+  std::size_t header_lines_ = 0;
   std::string unsent_;
   std::array<char, 8192> buffer_{};
   size_t begin_ = 0;
@@ -547,8 +563,7 @@
     }
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    socket_stream stream(socket, options_.read_timeout,
-                         options_.max_header_bytes);
+    socket_stream stream(socket, options_);
     const std::uint64_t number = next_connection_.fetch_add(1);
     const std::array<int, 2> events{
         close_idle_.descriptor(),
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -116,6 +116,23 @@
   CHECK(server.calls == 0);
 }
 
+// Guards against fields that the library keeps in many times their size.
+TEST_CASE("a header of too many fields ends at the limit") {
+  echo_server server;
+  server.listener.Start();
+  std::string header = "GET / HTTP/1.1\r\n";
+  for (std::size_t i = 0; i < 10 * limits::kMaxHeaders; ++i)
+    header += "a:b\r\n";
+  const std::string answer =
+      Exchange(server.listener.address(), header + "\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 431"));
+  CHECK(answer.find("dotterellead-run: not-run") != std::string::npos);
+  // Without its end, which the listener does not wait for.
+  CHECK(
+      Exchange(server.listener.address(), header).starts_with("HTTP/1.1 431"));
+  CHECK(server.calls == 0);
+}
+
 // Guards against a body that passes for the next request, and against waiting
 // for a body that was never announced.
 TEST_CASE("a body belongs to its request whatever the method") {
