Show that a response cut at any byte never becomes a success

Operators of other systems saw clients get a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of a header.

--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -116,6 +116,49 @@
   CHECK(server.calls == 0);
 }
 
+// Guards against a 200 with an empty or short body that looks whole.
+TEST_CASE("an answer cut at any byte is a failure") {
+  const std::string head = "HTTP/1.1 200 OK\r\nOwn: 1\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string length = head + "Content-Length: 5\r\n\r\n";
+  const std::string until_end = head + "\r\n";
+  // The bytes, and how many of them make a whole answer.
+  const std::pair<std::string, std::size_t> answers[] = {
+      {length + "abcde", length.size() + 5},
+      {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", 0},
+      {until_end + "abcde", until_end.size()},
+      {interim + length + "abcde", 0},
+      {interim + until_end, 0},
+  };
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  REQUIRE(listen(listener, 4) == 0);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  const socket_address remote{"127.0.0.1", ntohs(address.sin_port)};
+  for (const auto& [bytes, whole] : answers) {
+    const std::size_t end = whole == 0 ? bytes.size() : whole;
+    for (std::size_t cut = 0; cut <= end; ++cut) {
+      std::thread server([&, cut, bytes = bytes] {
+        const int fd = accept(listener, nullptr, nullptr);
+        char request[4096];
+        (void)recv(fd, request, sizeof(request), 0);
+        (void)send(fd, bytes.data(), cut, MSG_NOSIGNAL);
+        close(fd);
+      });
+      const send_result r = SendOnce(remote, {"GET", "/", {}, ""}, kTimeout);
+      server.join();
+      CAPTURE(bytes);
+      CAPTURE(cut);
+      CHECK(r.ok() == (cut == end));
+    }
+  }
+  close(listener);
+}
+
 // Guards against fields that the library keeps in many times their size.
 TEST_CASE("a header of too many fields ends at the limit") {
   echo_server server;
--- a/packages/traffic/tests/loopback_server.h
+++ b/packages/traffic/tests/loopback_server.h
@@ -92,6 +92,8 @@
 // Bytes that a server sends again and again, after a response of its script
 // that ends with kEndless, until the connection is closed.
 inline constexpr std::string_view kEndless = "<endless>";
+// The connection is closed after a response of its script that ends with this.
+inline constexpr std::string_view kCut = "<cut>";
 
 class loopback_server {
  public:
@@ -146,6 +148,10 @@
         SendEndless(s);
         break;
       }
+      if (response.ends_with(kCut)) {
+        s.Write(response.substr(0, response.size() - kCut.size()));
+        break;
+      }
       s.Write(response);
       if (response.find("Connection: close") != std::string::npos)
         break;
