Count the time on the way in the age of data from another host

A host took the age that its parent stated as of the arrival of the response. Behind a slow parent that is wrong by up to 0.75 s a level, and a host without other news then reads the store that much later than its bound needs.

Change: a response says how long the request was held; what the exchange took beyond it counts as age, on the child's clock alone.

Data that a child pushes to its parent still counts from its arrival.

--- a/packages/fleet/include/dotterellead/fleet.h
+++ b/packages/fleet/include/dotterellead/fleet.h
@@ -167,6 +167,9 @@
   std::optional<usage::fencing_token> leader_token;
   // Loads of shared pools, of all hosts, that changed.
   pools::pool_table pools;
+  // Time from the arrival of the request to the encoding of this response, to
+  // which the ages of updates refer. Absent from hosts of earlier releases.
+  std::optional<milliseconds> held;
 };
 
 // JSON encoding of the messages. Decoding throws protocol_error if the text is
--- a/packages/fleet/src/children.cc
+++ b/packages/fleet/src/children.cc
@@ -123,6 +123,8 @@
   response.crash_events = CrashEventsSince(request.events_version);
   response.events_version = events_version_;
   response.leader_token = leader_token_;
+  response.held =
+      std::chrono::floor<milliseconds>(boot_clock::now() - arrived_at);
   response.pools =
       pools_.RowsFor(request.self.name, pools_.Totals(is_root_, now), now);
   return response;
--- a/packages/fleet/src/codec.cc
+++ b/packages/fleet/src/codec.cc
@@ -389,6 +389,8 @@
     json["token"] = Number(response.leader_token->value());
   if (!response.pools.empty())
     json["pools"] = FromPools(response.pools);
+  if (response.held)
+    json["held"] = Number(static_cast<std::uint64_t>(response.held->count()));
   return FormatJson(json);
 }
 
@@ -409,6 +411,8 @@
   if (!MemberOrNull(json, "token").isNull())
     response.leader_token =
         usage::fencing_token(Count(MemberOrNull(json, "token")));
+  if (!MemberOrNull(json, "held").isNull())
+    response.held = milliseconds(Count(MemberOrNull(json, "held")));
   return response;
 }
 
--- a/packages/fleet/src/parent.cc
+++ b/packages/fleet/src/parent.cc
@@ -246,12 +246,18 @@
                                           boot_time requested_at) {
   const time_point now = std::chrono::steady_clock::now();
   pools_.RecordParent(response.pools, now);
+  // The data is older by the time for which the response was on its way.
+  const milliseconds on_the_way =
+      TimeOnTheWay(requested_at, boot_clock::now(), response.held);
+  std::array<stream_updates, kStreams> updates = response.updates;
   for (std::size_t i = 0; i < kStreams; ++i) {
-    parent_end_offsets_[i] = response.updates[i].end_offset;
+    if (updates[i].age)
+      *updates[i].age += on_the_way;
+    parent_end_offsets_[i] = updates[i].end_offset;
     parent_complete_at_[i] =
-        response.updates[i].age ? now - *response.updates[i].age : time_point();
+        updates[i].age ? now - *updates[i].age : time_point();
   }
-  HandleUpdates(response.updates, requested_at);
+  HandleUpdates(updates, requested_at);
   if (response.hosts) {
     parent_hosts_version_ = response.hosts_version;
     SetLiveHosts(*response.hosts);
--- a/packages/fleet/src/proof.h
+++ b/packages/fleet/src/proof.h
@@ -3,6 +3,7 @@
 #ifndef DOTTERELLEAD_FLEET_PROOF_H_
 #define DOTTERELLEAD_FLEET_PROOF_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "dotterellead/core.h"
@@ -29,6 +30,19 @@
   return *requested_at + *difference;
 }
 
+// On the child: the time that a response and its request spent on the way, or
+// waiting for a slow host. 0 if the parent does not say how long it held the
+// request.
+inline milliseconds TimeOnTheWay(boot_time requested_at,
+                                 boot_time received_at,
+                                 std::optional<milliseconds> held) {
+  if (!held)
+    return milliseconds(0);
+  return std::max(
+      milliseconds(0),
+      std::chrono::ceil<milliseconds>(received_at - requested_at) - *held);
+}
+
 }  // namespace dotterellead::fleet
 
 #endif  // DOTTERELLEAD_FLEET_PROOF_H_
--- a/packages/fleet/tests/external_names_test.cc
+++ b/packages/fleet/tests/external_names_test.cc
@@ -33,6 +33,7 @@
   response.stages = {moves::stage{}};
   response.crash_events = request.crash_events;
   response.leader_token = usage::fencing_token(4);
+  response.held = milliseconds(1);
   std::set<std::string> names;
   CollectNames(*ParseJson(EncodeRequest(request)), names);
   CollectNames(*ParseJson(EncodeResponse(response)), names);
--- a/packages/fleet/tests/proof_test.cc
+++ b/packages/fleet/tests/proof_test.cc
@@ -99,6 +99,26 @@
   CHECK(ProofDifference(arrived - half, arrived) == milliseconds(-1));
 }
 
+// Guards against data that looks younger behind a slow host, so that a host
+// without other news reads the store too late.
+TEST_CASE("the time on the way counts in the age of relayed data") {
+  const boot_time sent(kNow);
+  for (const milliseconds way :
+       {milliseconds(0), milliseconds(3), milliseconds(700)}) {
+    for (const milliseconds held : {milliseconds(0), milliseconds(400)}) {
+      const boot_time received = sent + held + way;
+      CHECK(TimeOnTheWay(sent, received, held) == way);
+    }
+  }
+  CHECK(TimeOnTheWay(sent, sent + std::chrono::microseconds(1'500),
+                     milliseconds(1)) == milliseconds(1));
+  // A parent of an earlier release, and one whose clock runs faster.
+  CHECK(TimeOnTheWay(sent, sent + milliseconds(700), std::nullopt) ==
+        milliseconds(0));
+  CHECK(TimeOnTheWay(sent, sent + milliseconds(5), milliseconds(6)) ==
+        milliseconds(0));
+}
+
 // Guards against hosts of two releases that cannot read each other's messages.
 TEST_CASE("a proof survives its encoding, and messages without one decode") {
   sync_response response;
@@ -106,6 +126,9 @@
   response.updates[0].age = milliseconds(12);
   CHECK_FALSE(
       DecodeResponse(EncodeResponse(response)).updates[0].proof.has_value());
+  CHECK_FALSE(DecodeResponse(EncodeResponse(response)).held.has_value());
+  response.held = milliseconds(390);
+  CHECK(DecodeResponse(EncodeResponse(response)).held == milliseconds(390));
   for (const int proof : {-40'000, 0, 250}) {
     response.updates[0].proof = milliseconds(proof);
     CHECK(DecodeResponse(EncodeResponse(response)).updates[0].proof ==
