--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -122,8 +122,12 @@
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
   const std::string length = head + "Content-Length: 5\r\n\r\n";
   const std::string until_end = head + "\r\n";
-  // The bytes, and how many of them make a whole answer.
-  const std::pair<std::string, std::size_t> answers[] = {
+  struct cut_case {
+    std::string bytes;
+    // How many of them make a whole answer; 0 stands for all.
+    std::size_t whole;
+  };
+  const cut_case answers[] = {
       {length + "abcde", length.size() + 5},
       {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", 0},
       {until_end + "abcde", until_end.size()},
@@ -139,19 +143,19 @@
   REQUIRE(listen(listener, 4) == 0);
   getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
   const socket_address remote{"127.0.0.1", ntohs(address.sin_port)};
-  for (const auto& [bytes, whole] : answers) {
-    const std::size_t end = whole == 0 ? bytes.size() : whole;
+  for (const cut_case& c : answers) {
+    const std::size_t end = c.whole == 0 ? c.bytes.size() : c.whole;
     for (std::size_t cut = 0; cut <= end; ++cut) {
-      std::thread server([&, cut, bytes = bytes] {
+      std::thread server([&, cut] {
         const int fd = accept(listener, nullptr, nullptr);
         char request[4096];
         (void)recv(fd, request, sizeof(request), 0);
-        (void)send(fd, bytes.data(), cut, MSG_NOSIGNAL);
+        (void)send(fd, c.bytes.data(), cut, MSG_NOSIGNAL);
         close(fd);
       });
       const send_result r = SendOnce(remote, {"GET", "/", {}, ""}, kTimeout);
       server.join();
-      CAPTURE(bytes);
+      CAPTURE(c.bytes);
       CAPTURE(cut);
       CHECK(r.ok() == (cut == end));
     }
