--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -357,12 +357,25 @@
   born_ = std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
   server_ = std::make_unique<server>(port_, [this](connection& c) { Serve(c); });
   store_.Put("keyed.servers", o_.id, Entry());
+  reported_at_ = Now();
   reports_ = std::thread([this] {
+    constexpr long kHeartbeat = 1'500;
+    long next = reported_at_ + kHeartbeat;
     while (!is_ended_) {
-      for (int i = 0; i < 15 && !is_ended_; ++i)
-        SleepMs(100);
-      if (!is_ended_)
-        store_.Put("keyed.servers", o_.id, Entry());
+      SleepMs(10);
+      if (Now() >= next) {
+        next += kHeartbeat;
+        if (!is_cut_off_) {
+          store_.Put("keyed.servers", o_.id, Entry());
+          reported_at_ = Now();
+          removed_at_ = -1;
+        }
+      }
+      if (removed_at_ < 0 && Now() >= reported_at_ + 3 * kHeartbeat) {
+        store_.Put("keyed.servers", o_.id, std::nullopt);
+        removed_at_ = Now();
+        Record("the store removes the entry of " + o_.id);
+      }
     }
   });
 }
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -129,7 +129,8 @@
 };
 run_times RunsOf(const std::string& id);
 
-// Runs requests; reports itself to the store every 1.5 s until it is silenced.
+// Runs requests; reports itself to the store every 1.5 s. The store removes its
+// entry after three intervals of silence.
 class instance {
  public:
   instance(store& s, instance_options o);
@@ -138,6 +139,12 @@
   int port() const { return port_; }
   int runs() const { return runs_; }
   std::string Entry();
+  // While it is cut off from the store, its reports do not arrive; it serves on.
+  void SetCutOff(bool is_cut_off) { is_cut_off_ = is_cut_off; }
+  // When its latest report arrived, and when the store removed its entry; -1 if
+  // it has one.
+  long reported_at() const { return reported_at_; }
+  long removed_at() const { return removed_at_; }
 
  private:
   void Serve(connection& c);
@@ -146,7 +153,8 @@
   int port_;
   long born_;
   std::atomic<int> running_ = 0, waiting_ = 0, runs_ = 0, sequence_ = 0;
-  std::atomic<bool> is_ended_ = false;
+  std::atomic<bool> is_ended_ = false, is_cut_off_ = false;
+  std::atomic<long> reported_at_ = -1, removed_at_ = -1;
   std::thread reports_;
   std::unique_ptr<server> server_;
 };
