--- a/review/standins-3/case_foreign.cc
+++ b/review/standins-3/case_foreign.cc
@@ -17,7 +17,8 @@
   store s(FreePort());
   s.Put("keyed.op", "config",
         Configuration(12,
-                      {{"listing", "alpha", "idempotent"}, {"lease", "beta", "non_idempotent"}},
+                      {{"listing", "alpha", "idempotent"},
+                       {"lease", "beta", "non_idempotent"}},
                       {"alpha", "beta"}));
   std::vector<std::unique_ptr<instance>> instances;
   for (const std::string service : {"alpha", "beta"})
@@ -25,7 +26,8 @@
       instances.push_back(std::make_unique<instance>(
           s, instance_options{"i-" + service + std::to_string(i), service,
                               i % 2 == 0 ? "z-a" : "z-b", "v1", 2, 200}));
-  std::vector<host> hosts = MakeHosts(3, [](int i) { return i % 2 == 0 ? "z-a" : "z-b"; });
+  std::vector<host> hosts =
+      MakeHosts(3, [](int i) { return i % 2 == 0 ? "z-a" : "z-b"; });
   for (host& h : hosts)
     StartHost(h, hosts, s.port(), argv[2]);
   AwaitReady(hosts);
@@ -41,10 +43,11 @@
     const auto reported = s.Newest("keyed.servers", instances[0]->id());
     while (s.Newest("keyed.servers", instances[0]->id()) == reported)
       SleepMs(5);
-    const std::string odd = "{\"service\":\"beta\",\"address\":\"127.0.0.1:" +
-                            std::to_string(instances[0]->port()) +
-                            "\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":2,"
-                            "\"state\":\"ready\",\"sequence\":1}";
+    const std::string odd =
+        "{\"service\":\"beta\",\"address\":\"127.0.0.1:" +
+        std::to_string(instances[0]->port()) +
+        "\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":2,"
+        "\"state\":\"ready\",\"sequence\":1}";
     s.Put("keyed.servers", instances[0]->id(), odd);
     Record("odd entry " + instances[0]->id() + " " + odd);
   });
@@ -59,8 +62,9 @@
     for (const bool is_lease : {false, true})
       requesters.emplace_back([&, n, is_lease] {
         const host& h = hosts[static_cast<std::size_t>(n) % hosts.size()];
-        const answer a = is_lease ? Ask(h, "lease", kDeadline, "PUT", "deposit=1")
-                                  : Ask(h, "listing", kDeadline);
+        const answer a = is_lease
+                             ? Ask(h, "lease", kDeadline, "PUT", "deposit=1")
+                             : Ask(h, "listing", kDeadline);
         served += a.status == 200 ? 1 : 0;
         if (!is_lease)
           return;
@@ -68,8 +72,8 @@
         leases.push_back(a.id);
         const std::string by = a.message.Header("Response-Signature");
         if (by.starts_with("s-i-alpha"))
-          Record("the requester of " + a.id + " gets status " + std::to_string(a.status) +
-                 " with the signature " + by);
+          Record("the requester of " + a.id + " gets status " +
+                 std::to_string(a.status) + " with the signature " + by);
       });
   }
   for (std::thread& t : requesters)
@@ -84,8 +88,10 @@
       Record("ROUTE: " + id + " of the service beta was run by " + run.by);
     }
   }
-  Record("result " + std::to_string(foreign) + " of " + std::to_string(leases.size()) +
-         " requests for beta run by an instance of alpha; " + std::to_string(served) + " of " +
+  Record("result " + std::to_string(foreign) + " of " +
+         std::to_string(leases.size()) +
+         " requests for beta run by an instance of alpha; " +
+         std::to_string(served) + " of " +
          std::to_string(2 * kSeconds * kPerSecond) + " served");
   Record(foreign > 0 ? "BROKEN ROUTE" : "held");
   std::_Exit(foreign > 0 ? 1 : 0);
--- a/review/standins-3/case_grace.cc
+++ b/review/standins-3/case_grace.cc
@@ -26,13 +26,16 @@
   const int grace = IsCalm() ? 6 : 4;
   store s(FreePort());
   s.Put("keyed.op", "config",
-        Configuration(12, {{"pay", "alpha", "non_idempotent", 1.2, 0.4, 1}}, {"alpha"}));
+        Configuration(12, {{"pay", "alpha", "non_idempotent", 1.2, 0.4, 1}},
+                      {"alpha"}));
   std::vector<std::unique_ptr<instance>> instances;
+  instances.reserve(12);
   for (int i = 0; i < 9; ++i)
     instances.push_back(std::make_unique<instance>(
-        s, instance_options{"i-" + std::to_string(i), "alpha", std::string("z-") + "abc"[i % 3],
-                            "v1", 2, 300}));
-  std::vector<host> hosts = MakeHosts(3, [](int i) { return std::string("z-") + "abc"[i]; });
+        s, instance_options{"i-" + std::to_string(i), "alpha",
+                            std::string("z-") + "abc"[i % 3], "v1", 2, 300}));
+  std::vector<host> hosts =
+      MakeHosts(3, [](int i) { return std::string("z-") + "abc"[i]; });
   for (host& h : hosts)
     StartHost(h, hosts, s.port(), argv[2]);
   AwaitReady(hosts);
@@ -50,7 +53,7 @@
     SleepMs(std::max(0L, stop_at - Now()));
     Record("SIGTERM to edge-0");
     kill(hosts[0].pid, SIGTERM);
-    while (Now() < stop_at + grace * 1'000) {
+    while (Now() < stop_at + 1'000L * grace) {
       if (waitpid(hosts[0].pid, nullptr, WNOHANG) == hosts[0].pid) {
         Record("edge-0 has ended");
         hosts[0].pid = -1;
@@ -88,19 +91,24 @@
   for (const sent& one : all) {
     served += one.a.status == 200 ? 1 : 0;
     const run_times run = RunsOf(one.a.id);
-    const bool is_cut = one.a.status == 0 && run.runs > 0 && one.a.taken < kDeadline - 50;
-    if (!is_cut || one.at > stop_at + (grace + 1) * 1'000 || one.at + one.a.taken < stop_at)
+    const bool is_cut =
+        one.a.status == 0 && run.runs > 0 && one.a.taken < kDeadline - 50;
+    if (!is_cut || one.at > stop_at + 1'000L * (grace + 1) ||
+        one.at + one.a.taken < stop_at)
       continue;
     // Not counted: the instance was still at work in the last sixth of graceS
     // on a request that was sent no later than 3 s after the SIGTERM.
-    const bool is_excused = one.at <= stop_at + 3'000 && run.ended > stop_at + grace * 5'000 / 6;
+    const bool is_excused =
+        one.at <= stop_at + 3'000 && run.ended > stop_at + 5'000L * grace / 6;
     Record("cut " + one.a.id + " sent " + std::to_string(one.at - stop_at) +
-           " ms after the SIGTERM, run from " + std::to_string(run.began - stop_at) + " to " +
-           std::to_string(run.ended - stop_at) + (is_excused ? " excused" : " LOST"));
+           " ms after the SIGTERM, run from " +
+           std::to_string(run.began - stop_at) + " to " +
+           std::to_string(run.ended - stop_at) +
+           (is_excused ? " excused" : " LOST"));
     lost += is_excused ? 0 : 1;
   }
-  Record("result " + std::to_string(lost) + " lost, " + std::to_string(served) + " of " +
-         std::to_string(all.size()) + " served");
+  Record("result " + std::to_string(lost) + " lost, " + std::to_string(served) +
+         " of " + std::to_string(all.size()) + " served");
   Record(lost > 0 ? "BROKEN LOST" : "held");
   std::_Exit(lost > 0 ? 1 : 0);
 }
--- a/review/standins-3/case_odd_entry.cc
+++ b/review/standins-3/case_odd_entry.cc
@@ -23,7 +23,9 @@
   const std::string folder = argv[2];
   store s(FreePort());
   s.Put("keyed.op", "config",
-        Configuration(12, {{"listing", "alpha", "idempotent"}, {"lease", "beta", "idempotent"}},
+        Configuration(12,
+                      {{"listing", "alpha", "idempotent"},
+                       {"lease", "beta", "idempotent"}},
                       {"alpha", "beta"}));
   std::vector<std::unique_ptr<instance>> instances;
   for (const std::string service : {"alpha", "beta"})
@@ -31,7 +33,8 @@
       instances.push_back(std::make_unique<instance>(
           s, instance_options{"i-" + service + std::to_string(i), service,
                               i % 2 == 0 ? "z-a" : "z-b"}));
-  std::vector<host> hosts = MakeHosts(3, [](int i) { return i % 2 == 0 ? "z-a" : "z-b"; });
+  std::vector<host> hosts =
+      MakeHosts(3, [](int i) { return i % 2 == 0 ? "z-a" : "z-b"; });
   for (host& h : hosts)
     StartHost(h, hosts, s.port(), folder);
   AwaitReady(hosts);
@@ -41,12 +44,13 @@
   // Another writer reports the odd entry as often as instances do theirs.
   std::thread writer([&] {
     const int nobody = FreePort();
-    while (!IsCalm() && Now() < traffic + kSeconds * 1'000) {
+    while (!IsCalm() && Now() < traffic + 1'000L * kSeconds) {
       if (Now() >= traffic + 2'000) {
-        const std::string odd = "{\"service\":\"alpha\",\"address\":\"127.0.0.1:" +
-                                std::to_string(nobody) +
-                                "\",\"zone\":\"z-a\",\"version\":\"v0\",\"slots\":2,"
-                                "\"state\":\"ready\",\"sequence\":1}";
+        const std::string odd =
+            "{\"service\":\"alpha\",\"address\":\"127.0.0.1:" +
+            std::to_string(nobody) +
+            "\",\"zone\":\"z-a\",\"version\":\"v0\",\"slots\":2,"
+            "\"state\":\"ready\",\"sequence\":1}";
         s.Put("keyed.servers", "i-odd", odd);
         Record("odd entry i-odd " + odd);
       }
@@ -66,15 +70,17 @@
         // the first answer names.
         for (int attempt = 0; attempt < 2 && Now() < end; ++attempt) {
           const answer a =
-              Ask(hosts[static_cast<std::size_t>(n + attempt) % hosts.size()], k->name, end - Now());
+              Ask(hosts[static_cast<std::size_t>(n + attempt) % hosts.size()],
+                  k->name, end - Now());
           if (a.status == 200) {
             ++k->served;
             return;
           }
           const std::string after = a.message.Header("Retry-After");
           if (!after.empty())
-            SleepMs(std::min(static_cast<long>(std::atof(after.c_str()) * 1'000),
-                             std::max(0L, (end - Now()) / 3)));
+            SleepMs(
+                std::min(static_cast<long>(std::atof(after.c_str()) * 1'000),
+                         std::max(0L, (end - Now()) / 3)));
         }
       });
   }
@@ -86,9 +92,11 @@
                      static_cast<double>(listing.sent + lease.sent);
   int result = 0;
   for (kind* k : {&listing, &lease}) {
-    const double share = static_cast<double>(k->served) / static_cast<double>(k->sent);
+    const double share =
+        static_cast<double>(k->served) / static_cast<double>(k->sent);
     Record("result " + k->name + ": " + std::to_string(k->served) + " of " +
-           std::to_string(k->sent) + " served; all kinds " + std::to_string(all));
+           std::to_string(k->sent) + " served; all kinds " +
+           std::to_string(all));
     if (share < all / 4)
       result = 1;
   }
--- a/review/standins-3/case_removal.cc
+++ b/review/standins-3/case_removal.cc
@@ -31,11 +31,13 @@
   const bool restarts = trouble.empty() || trouble == "restart";
   const bool cuts = trouble.empty() || trouble == "cut";
   store s(FreePort());
-  s.Put("keyed.op", "config", Configuration(12, {{"read", "alpha", "idempotent"}}, {"alpha"}));
+  s.Put("keyed.op", "config",
+        Configuration(12, {{"read", "alpha", "idempotent"}}, {"alpha"}));
   std::vector<std::unique_ptr<instance>> instances;
+  instances.reserve(12);
   for (int i = 0; i < 6; ++i)
-    instances.push_back(
-        std::make_unique<instance>(s, instance_options{"i-" + std::to_string(i), "alpha", "z-a"}));
+    instances.push_back(std::make_unique<instance>(
+        s, instance_options{"i-" + std::to_string(i), "alpha", "z-a"}));
   std::vector<host> hosts = MakeHosts(4, [](int) { return "z-a"; });
   for (host& h : hosts)
     StartHost(h, hosts, s.port(), argv[2]);
@@ -61,8 +63,9 @@
   });
   SleepMs(5'000);
   // The instance that the hosts use most.
-  instance& x = **std::max_element(instances.begin(), instances.end(),
-                                   [](const auto& a, const auto& b) { return a->runs() < b->runs(); });
+  instance& x = **std::max_element(
+      instances.begin(), instances.end(),
+      [](const auto& a, const auto& b) { return a->runs() < b->runs(); });
   const long before = x.reported_at();
   while (x.reported_at() == before)
     SleepMs(2);
@@ -108,12 +111,13 @@
   int late = 0;
   for (const sent& one : all) {
     const run_times run = RunsOf(one.id);
-    if (removed < 0 || run.runs == 0 || run.by != x.id() || run.began <= removed + kDrain ||
-        run.began >= back)
+    if (removed < 0 || run.runs == 0 || run.by != x.id() ||
+        run.began <= removed + kDrain || run.began >= back)
       continue;
     ++late;
-    Record("DRAIN: " + one.id + " reached " + x.id() + " from " + one.host + " " +
-           std::to_string(run.began - removed) + " ms after the store had removed its entry");
+    Record("DRAIN: " + one.id + " reached " + x.id() + " from " + one.host +
+           " " + std::to_string(run.began - removed) +
+           " ms after the store had removed its entry");
   }
   Record("result " + std::to_string(late) + " requests reached " + x.id() +
          " later than drainS after its entry was removed");
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -10,16 +10,16 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <strings.h>
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
-#include <strings.h>
 
 namespace world {
 
 namespace {
 
-const steady::time_point kStart = steady::now();
+const steady::time_point program_start = steady::now();
 std::mutex record_mutex;
 std::mutex run_table_mutex;
 std::map<std::string, run_times> run_table;
@@ -41,15 +41,16 @@
 }
 
 std::string Base64(const std::string& in) {
-  static const char* const kDigits =
+  static const char* const digits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   for (std::size_t i = 0; i < in.size(); i += 3) {
     std::uint32_t v = 0;
     for (std::size_t k = 0; k < 3; ++k)
-      v = v << 8 | (i + k < in.size() ? static_cast<unsigned char>(in[i + k]) : 0);
+      v = v << 8 |
+          (i + k < in.size() ? static_cast<unsigned char>(in[i + k]) : 0);
     for (int k = 3; k >= 0; --k)
-      out += kDigits[v >> (6 * k) & 63];
+      out += digits[v >> (6 * k) & 63];
   }
   for (std::size_t k = 0; k < (3 - in.size() % 3) % 3; ++k)
     out[out.size() - 1 - k] = '=';
@@ -71,7 +72,8 @@
   std::size_t at = target.find('?');
   while (at != std::string::npos) {
     const std::size_t next = target.find('&', at + 1);
-    const std::string pair = target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+    const std::string pair =
+        target.substr(at + 1, next == std::string::npos ? next : next - at - 1);
     query[pair.substr(0, pair.find('='))] = pair.substr(pair.find('=') + 1);
     at = next;
   }
@@ -81,7 +83,7 @@
 }  // namespace
 
 long Now() {
-  return std::chrono::duration_cast<ms>(steady::now() - kStart).count();
+  return std::chrono::duration_cast<ms>(steady::now() - program_start).count();
 }
 void SleepMs(long t) {
   std::this_thread::sleep_for(ms(t));
@@ -109,7 +111,8 @@
       next = 12000;
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in a = Loopback(next);
-    const bool is_free = bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0;
+    const bool is_free =
+        bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0;
     close(fd);
     if (is_free)
       return next++;
@@ -144,7 +147,8 @@
   setsockopt(fd_, SOL_SOCKET, SO_LINGER, &l, sizeof l);
 }
 bool connection::Fill(steady::time_point deadline) {
-  const auto left = std::chrono::duration_cast<ms>(deadline - steady::now()).count();
+  const auto left =
+      std::chrono::duration_cast<ms>(deadline - steady::now()).count();
   pollfd p{fd_, POLLIN, 0};
   if (left <= 0 || poll(&p, 1, static_cast<int>(left)) <= 0)
     return false;
@@ -155,7 +159,10 @@
   buffer_.append(part, static_cast<std::size_t>(n));
   return true;
 }
-bool connection::Read(http_message& m, long timeout, bool is_response, bool has_no_body) {
+bool connection::Read(http_message& m,
+                      long timeout,
+                      bool is_response,
+                      bool has_no_body) {
   const auto deadline = steady::now() + ms(timeout);
   std::size_t end;
   while ((end = buffer_.find("\r\n\r\n")) == std::string::npos)
@@ -192,7 +199,8 @@
 bool connection::Write(const std::string& bytes) {
   std::size_t at = 0;
   while (at < bytes.size()) {
-    const ssize_t n = send(fd_, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    const ssize_t n =
+        send(fd_, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
     if (n <= 0)
       return false;
     at += static_cast<std::size_t>(n);
@@ -219,12 +227,14 @@
   return c;
 }
 
-server::server(int port, std::function<void(connection&)> serve) : serve_(std::move(serve)) {
+server::server(int port, std::function<void(connection&)> serve)
+    : serve_(std::move(serve)) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int one = 1;
   setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   const sockaddr_in a = Loopback(port);
-  if (bind(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 || listen(fd_, 512) != 0) {
+  if (bind(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 ||
+      listen(fd_, 512) != 0) {
     Record("cannot listen on port " + std::to_string(port));
     std::_Exit(2);
   }
@@ -271,13 +281,15 @@
   return offset;
 }
 
-std::uint64_t store::Put(const std::string& topic, const std::string& key,
+std::uint64_t store::Put(const std::string& topic,
+                         const std::string& key,
                          const std::optional<std::string>& value) {
   std::lock_guard lock(mutex_);
   return Append(topics_[topic], {key, value});
 }
 
-std::optional<std::string> store::Newest(const std::string& topic, const std::string& key) {
+std::optional<std::string> store::Newest(const std::string& topic,
+                                         const std::string& key) {
   std::lock_guard lock(mutex_);
   const auto& newest = topics_[topic].newest;
   const auto it = newest.find(key);
@@ -293,27 +305,32 @@
 
 std::string store::Answer(const http_message& request) {
   const auto reply = [](const std::string& status, const std::string& body) {
-    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
+    return "HTTP/1.1 " + status +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
   };
   const std::string target = request.target();
   auto query = Query(target);
   std::unique_lock lock(mutex_);
   log& l = topics_[query["topic"]];
-  const auto end = [&l] { return static_cast<std::uint64_t>(l.records.size()); };
+  const auto end = [&l] {
+    return static_cast<std::uint64_t>(l.records.size());
+  };
   if (target.starts_with("/log-newest")) {
     std::string body = "{\"items\":[";
     for (const auto& [key, newest] : l.newest)
-      body += std::string(body.back() == '[' ? "" : ",") + "{\"key\":\"" + Escape(key) +
-              "\",\"offset\":" + std::to_string(newest.first) + ",\"value\":\"" +
-              Base64(newest.second) + "\"}";
-    return reply("200 OK", body + "],\"hasMore\":false,\"end\":" + std::to_string(end()) + "}");
+      body += std::string(body.back() == '[' ? "" : ",") + "{\"key\":\"" +
+              Escape(key) + "\",\"offset\":" + std::to_string(newest.first) +
+              ",\"value\":\"" + Base64(newest.second) + "\"}";
+    return reply("200 OK", body + "],\"hasMore\":false,\"end\":" +
+                               std::to_string(end()) + "}");
   }
   if (target.starts_with("/log-read")) {
     const std::uint64_t from = std::stoull("0" + query["from"]);
     if (from > end())
       return reply("410 Gone", "{\"first\":0}");
-    changed_.wait_for(lock, ms(std::stol("0" + query["waitMs"])), [&] { return end() > from; });
+    changed_.wait_for(lock, ms(std::stol("0" + query["waitMs"])),
+                      [&] { return end() > from; });
     std::string body = BigEndian(end(), 8) + BigEndian(0, 8);
     for (std::uint64_t i = from; i < end(); ++i) {
       const record& r = l.records[i];
@@ -326,18 +343,21 @@
   }
   if (target.starts_with("/log-append")) {
     if (query.count("at") != 0 && std::stoull("0" + query["at"]) != end())
-      return reply("412 Precondition Failed", "{\"end\":" + std::to_string(end()) + "}");
+      return reply("412 Precondition Failed",
+                   "{\"end\":" + std::to_string(end()) + "}");
     const std::uint64_t first = end();
     std::string_view left = request.body;
     while (left.size() > 5) {
       std::uint64_t length = 0;
       for (int i = 0; i < 4; ++i)
-        length = length << 8 | static_cast<unsigned char>(left[static_cast<std::size_t>(i)]);
+        length = length << 8 |
+                 static_cast<unsigned char>(left[static_cast<std::size_t>(i)]);
       const std::string content(left.substr(4, length));
       left.remove_prefix(std::min<std::size_t>(left.size(), 4 + length));
       const std::size_t key = static_cast<unsigned char>(content[0]);
       const std::string value = content.substr(1 + key);
-      Append(l, {content.substr(1, key), value.empty() ? std::nullopt : std::optional(value)});
+      Append(l, {content.substr(1, key),
+                 value.empty() ? std::nullopt : std::optional(value)});
     }
     return reply("200 OK", "{\"offset\":" + std::to_string(first) +
                                ",\"end\":" + std::to_string(end()) + "}");
@@ -353,9 +373,13 @@
   return it == run_table.end() ? run_times() : it->second;
 }
 
-instance::instance(store& s, instance_options o) : store_(s), o_(std::move(o)), port_(FreePort()) {
-  born_ = std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
-  server_ = std::make_unique<server>(port_, [this](connection& c) { Serve(c); });
+instance::instance(store& s, instance_options o)
+    : store_(s), o_(std::move(o)), port_(FreePort()) {
+  born_ = std::chrono::duration_cast<ms>(
+              std::chrono::system_clock::now().time_since_epoch())
+              .count();
+  server_ =
+      std::make_unique<server>(port_, [this](connection& c) { Serve(c); });
   store_.Put("keyed.servers", o_.id, Entry());
   reported_at_ = Now();
   reports_ = std::thread([this] {
@@ -384,11 +408,13 @@
   reports_.join();
 }
 std::string instance::Entry() {
-  return "{\"service\":\"" + o_.service + "\",\"address\":\"127.0.0.1:" + std::to_string(port_) +
+  return "{\"service\":\"" + o_.service +
+         "\",\"address\":\"127.0.0.1:" + std::to_string(port_) +
          "\",\"zone\":\"" + o_.zone + "\",\"version\":\"" + o_.version +
          "\",\"slots\":" + std::to_string(o_.slots) +
-         ",\"state\":\"ready\",\"warmupLeftS\":0,\"sequence\":" + std::to_string(++sequence_) +
-         ",\"born\":" + std::to_string(born_) + "}";
+         ",\"state\":\"ready\",\"warmupLeftS\":0,\"sequence\":" +
+         std::to_string(++sequence_) + ",\"born\":" + std::to_string(born_) +
+         "}";
 }
 void instance::Serve(connection& c) {
   http_message request;
@@ -415,7 +441,8 @@
         --waiting_;
         ++running_;
         ++runs_;
-        Record("run " + id + " " + request.method() + " " + request.target() + " by " + o_.id);
+        Record("run " + id + " " + request.method() + " " + request.target() +
+               " by " + o_.id);
         {
           std::lock_guard lock(run_table_mutex);
           run_times& times = run_table[id];
@@ -433,10 +460,12 @@
         body = "answer to " + id;
       }
     }
-    const std::string load = std::to_string(running_) + "," + std::to_string(waiting_) + "," +
+    const std::string load = std::to_string(running_) + "," +
+                             std::to_string(waiting_) + "," +
                              std::to_string(o_.slots) + ",100";
-    if (!c.Write("HTTP/1.1 " + status + "\r\nInstance-Id: " + o_.id + "\r\nInstance-Load: " + load +
-                 "\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+    if (!c.Write("HTTP/1.1 " + status + "\r\nInstance-Id: " + o_.id +
+                 "\r\nInstance-Load: " + load + "\r\n" + more +
+                 "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
                  body))
       return;
   }
@@ -444,23 +473,36 @@
 
 // ---- Entry hosts
 
-void WriteSettings(const host& h, const std::vector<host>& all, int store_port, int grace) {
-  const auto local = [](int port) { return "127.0.0.1:" + std::to_string(port); };
+void WriteSettings(const host& h,
+                   const std::vector<host>& all,
+                   int store_port,
+                   int grace) {
+  const auto local = [](int port) {
+    return "127.0.0.1:" + std::to_string(port);
+  };
   std::string seeds;
   for (std::size_t i = 0; i < all.size() && i < 3; ++i)
-    seeds += std::string(i == 0 ? "" : ",") + "\"" + local(all[i].control) + "\"";
+    seeds +=
+        std::string(i == 0 ? "" : ",") + "\"" + local(all[i].control) + "\"";
   std::ofstream(h.settings_file)
-      << "host=\"" << h.name << "\"\ndata-centre=\"" << h.zone << "\"\nfront=\"" << local(h.front)
-      << "\"\nready=\"" << local(h.ready) << "\"\nmetrics=\"" << local(h.metrics) << "\"\nstore=\""
-      << local(store_port) << "\"\nconfig-s=2\nstrict-revocation=\nrevoke-s=\ndrain-s=2\nstop-s="
-      << grace << "\nrepeat-ratio=0.2\nrepeat-window-s=10\nrepeat-slack=62\npeers=\""
+      << "host=\"" << h.name << "\"\ndata-centre=\"" << h.zone << "\"\nfront=\""
+      << local(h.front) << "\"\nready=\"" << local(h.ready) << "\"\nmetrics=\""
+      << local(h.metrics) << "\"\nstore=\"" << local(store_port)
+      << "\"\nconfig-s=2\nstrict-revocation=\nrevoke-s=\ndrain-s=2\nstop-s="
+      << grace
+      << "\nrepeat-ratio=0.2\nrepeat-window-s=10\nrepeat-slack=62\npeers=\""
       << local(h.control) << "\"\nseeds=[" << seeds
-      << "]\nprobes-per-s=60\nexpose-share=0.1\nexpose-slack=50\nmemory-mb=260\nmax-fds=4100\n"
-      << "first-start=false\noperations=\"\"\nusage-window-s=\nusage-late-s=\nlease-s=\n"
+      << "]\nprobes-per-s=60\nexpose-share=0.1\nexpose-slack=50\nmemory-mb="
+         "260\nmax-fds=4100\n"
+      << "first-start=false\noperations=\"\"\nusage-window-s=\nusage-late-s="
+         "\nlease-s=\n"
       << "require-fencing=\n";
 }
 
-void StartHost(host& h, const std::vector<host>& all, int store_port, const std::string& folder) {
+void StartHost(host& h,
+               const std::vector<host>& all,
+               int store_port,
+               const std::string& folder) {
   if (h.settings_file.empty()) {
     h.settings_file = folder + "/" + h.name + ".conf";
     WriteSettings(h, all, store_port);
@@ -479,7 +521,8 @@
     char program[] = "target/apps/dotterellead/dotterellead";
     char mode[] = "entry";
     char* argv[] = {program, mode, nullptr};
-    std::string path = std::string("PATH=") + (getenv("PATH") ? getenv("PATH") : "/usr/bin:/bin");
+    std::string path = std::string("PATH=") +
+                       (getenv("PATH") ? getenv("PATH") : "/usr/bin:/bin");
     std::string boot = settings;
     char* env[] = {path.data(), boot.data(), nullptr};
     execve(program, argv, env);
@@ -502,17 +545,19 @@
 bool IsReady(const host& h) {
   const auto c = Connect(h.ready, 300);
   http_message m;
-  return c && c->Write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n") && c->Read(m, 500, true) &&
-         m.status() == 200;
+  return c && c->Write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n") &&
+         c->Read(m, 500, true) && m.status() == 200;
 }
 
-std::vector<host> MakeHosts(int count, const std::function<std::string(int)>& zone) {
+std::vector<host> MakeHosts(int count,
+                            const std::function<std::string(int)>& zone) {
   std::vector<host> hosts(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     host& h = hosts[static_cast<std::size_t>(i)];
     h.name = "edge-" + std::to_string(i);
     h.zone = zone(i);
-    h.front = FreePort(), h.ready = FreePort(), h.control = FreePort(), h.metrics = FreePort();
+    h.front = FreePort(), h.ready = FreePort(), h.control = FreePort(),
+    h.metrics = FreePort();
   }
   return hosts;
 }
@@ -529,30 +574,40 @@
   }
 }
 
-std::string Configuration(int version, const std::vector<route>& routes,
+std::string Configuration(int version,
+                          const std::vector<route>& routes,
                           const std::vector<std::string>& services) {
   char hex[16];
   std::snprintf(hex, sizeof hex, "%08x", version);
-  std::string text = std::string("{\"version\":\"") + hex +
-                     "\",\"routes\":{\"columns\":[\"name\",\"host\",\"pathPrefix\",\"type\","
-                     "\"timeoutS\",\"targetLatencyS\",\"priority\",\"maxAttempts\",\"service\"],"
-                     "\"rows\":[";
+  std::string text =
+      std::string("{\"version\":\"") + hex +
+      "\",\"routes\":{\"columns\":[\"name\",\"host\",\"pathPrefix\",\"type\","
+      "\"timeoutS\",\"targetLatencyS\",\"priority\",\"maxAttempts\","
+      "\"service\"],"
+      "\"rows\":[";
   for (const route& r : routes)
-    text += std::string(text.back() == '[' ? "" : ",") + "[\"" + r.name + "\",\"h.example\",\"/" +
-            r.name + "/\",\"" + r.type + "\"," + std::to_string(r.timeout) + "," +
-            std::to_string(r.target) + ",1," + std::to_string(r.attempts) + ",\"" + r.service +
-            "\"]";
-  text += "]},\"services\":{\"columns\":[\"name\",\"healthPath\",\"maxConnections\",\"warmupS\","
-          "\"warmupPerS\"],\"rows\":[";
+    text += std::string(text.back() == '[' ? "" : ",") + "[\"" + r.name +
+            "\",\"h.example\",\"/" + r.name + "/\",\"" + r.type + "\"," +
+            std::to_string(r.timeout) + "," + std::to_string(r.target) + ",1," +
+            std::to_string(r.attempts) + ",\"" + r.service + "\"]";
+  text +=
+      "]},\"services\":{\"columns\":[\"name\",\"healthPath\","
+      "\"maxConnections\",\"warmupS\","
+      "\"warmupPerS\"],\"rows\":[";
   for (const std::string& s : services)
-    text += std::string(text.back() == '[' ? "" : ",") + "[\"" + s + "\",\"/health\",260,1,5]";
-  return text + "]},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
-                "\"headerTimeoutS\":2,\"idleTimeoutS\":10}}";
+    text += std::string(text.back() == '[' ? "" : ",") + "[\"" + s +
+            "\",\"/health\",260,1,5]";
+  return text +
+         "]},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
+         "\"headerTimeoutS\":2,\"idleTimeoutS\":10}}";
 }
 
 // ---- Requesters
 
-answer Ask(const host& h, const std::string& route, long deadline, const std::string& method,
+answer Ask(const host& h,
+           const std::string& route,
+           long deadline,
+           const std::string& method,
            const std::string& body) {
   static std::atomic<int> next = 1;
   answer a;
@@ -560,14 +615,18 @@
   a.id = "q" + std::to_string(getpid()) + "-" + std::to_string(next++);
   const auto c = Connect(h.front, std::min(1'000L, deadline));
   const std::string request =
-      method + " /" + route + "/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + a.id +
+      method + " /" + route +
+      "/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + a.id +
       "\r\nRequest-Deadline-Ms: " + std::to_string(deadline) +
-      (body.empty() ? "" : "\r\nContent-Length: " + std::to_string(body.size())) + "\r\n\r\n" + body;
+      (body.empty() ? ""
+                    : "\r\nContent-Length: " + std::to_string(body.size())) +
+      "\r\n\r\n" + body;
   if (c && c->Write(request) && c->Read(a.message, deadline, true))
     a.status = a.message.status();
   a.taken = Now() - began;
-  Record("ask " + a.id + " " + method + " /" + route + "/x at " + h.name + " status " +
-         std::to_string(a.status) + " after " + std::to_string(a.taken) + " ms");
+  Record("ask " + a.id + " " + method + " /" + route + "/x at " + h.name +
+         " status " + std::to_string(a.status) + " after " +
+         std::to_string(a.taken) + " ms");
   return a;
 }
 
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -54,7 +54,10 @@
   ~connection();
   connection(const connection&) = delete;
   // Reads one message; false on end, error or after `timeout`.
-  bool Read(http_message& m, long timeout, bool is_response, bool has_no_body = false);
+  bool Read(http_message& m,
+            long timeout,
+            bool is_response,
+            bool has_no_body = false);
   bool Write(const std::string& bytes);
   // Closes with a reset.
   void Reset();
@@ -89,9 +92,11 @@
  public:
   explicit store(int port);
   // Appends a record; an absent value removes the key. Returns its offset.
-  std::uint64_t Put(const std::string& topic, const std::string& key,
+  std::uint64_t Put(const std::string& topic,
+                    const std::string& key,
                     const std::optional<std::string>& value);
-  std::optional<std::string> Newest(const std::string& topic, const std::string& key);
+  std::optional<std::string> Newest(const std::string& topic,
+                                    const std::string& key);
   int port() const { return port_; }
 
  private:
@@ -139,7 +144,8 @@
   int port() const { return port_; }
   int runs() const { return runs_; }
   std::string Entry();
-  // While it is cut off from the store, its reports do not arrive; it serves on.
+  // While it is cut off from the store, its reports do not arrive; it serves
+  // on.
   void SetCutOff(bool is_cut_off) { is_cut_off_ = is_cut_off; }
   // When its latest report arrived, and when the store removed its entry; -1 if
   // it has one.
@@ -170,10 +176,14 @@
 
 // Writes the settings as the template platform/entry.conf has them and starts
 // the program of the deploy file.
-void StartHost(host& h, const std::vector<host>& all, int store_port,
+void StartHost(host& h,
+               const std::vector<host>& all,
+               int store_port,
                const std::string& folder);
 // Writes the settings file of a host; `grace` is graceS.
-void WriteSettings(const host& h, const std::vector<host>& all, int store_port,
+void WriteSettings(const host& h,
+                   const std::vector<host>& all,
+                   int store_port,
                    int grace = 6);
 // Ends the processes that StartHost started.
 void EndHosts(std::vector<host>& hosts);
@@ -186,7 +196,8 @@
   double timeout = 1.5, target = 0.5;
   int attempts = 2;
 };
-std::string Configuration(int version, const std::vector<route>& routes,
+std::string Configuration(int version,
+                          const std::vector<route>& routes,
                           const std::vector<std::string>& services);
 
 // ---- Requesters
@@ -199,13 +210,17 @@
 };
 
 // Free addresses for `count` hosts, each in the zone that `zone` names.
-std::vector<host> MakeHosts(int count, const std::function<std::string(int)>& zone);
+std::vector<host> MakeHosts(int count,
+                            const std::function<std::string(int)>& zone);
 // Waits until all hosts are ready; ends them and the program (2) after 15 s.
 void AwaitReady(std::vector<host>& hosts);
 
 // One requester attempt on a new connection.
-answer Ask(const host& h, const std::string& route, long deadline,
-           const std::string& method = "GET", const std::string& body = "");
+answer Ask(const host& h,
+           const std::string& route,
+           long deadline,
+           const std::string& method = "GET",
+           const std::string& body = "");
 
 }  // namespace world
 
