Notice that a caller has left while its further requests wait

Callers saw nothing: they had left. Servers worked for them.

Cause: the close was awaited as input on the connection, only if no byte of a further request was buffered, and only until the first further byte, since bytes that wait to be read complete each wait at once. Nothing looked at the connection before the next buffered request was passed on.

Change: the connection is watched during each request. A request whose caller has left is not passed on. Standalone saw the close beside unread bytes, but not before the first attempt or after a wait for a slot; it looks there too, and gives claim and slot back. The test "a caller who has gone gets no further attempts" had a caller that was gone from the start, who now gets no attempt at all: it leaves during the first one instead, and a new test has the former.

--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -458,5 +458,40 @@
   CHECK(headers == http_headers{{"Accept", "*/*"}});
 }
 
+// Guards against a close that is hidden by the bytes of further requests.
+TEST_CASE("a caller that leaves is gone while further requests wait") {
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const std::size_t further : {0U, 1U, 3U, 2'000U}) {
+    CAPTURE(further);
+    std::atomic<int> calls{0};
+    std::atomic<bool> has_left{false};
+    std::atomic<bool> is_gone{false};
+    http_listener listener({.address = {"127.0.0.1", 0}},
+                           [&](const http_request&, const http_peer& peer) {
+                             if (++calls == 1) {
+                               CHECK_FALSE(peer.IsGone());
+                               for (int i = 0; i < 1'000 && !has_left; ++i)
+                                 std::this_thread::sleep_for(milliseconds(1));
+                               is_gone = peer.IsGone();
+                             }
+                             return http_answer{200, {}, ""};
+                           });
+    listener.Start();
+    const int fd = ConnectTo(listener.address());
+    std::string bytes = request;
+    for (std::size_t i = 0; i < further; ++i)
+      bytes += request;
+    CHECK(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(bytes.size()));
+    for (int i = 0; i < 1'000 && calls == 0; ++i)
+      std::this_thread::sleep_for(milliseconds(1));
+    close(fd);
+    std::this_thread::sleep_for(milliseconds(20));
+    has_left = true;
+    listener.Stop();
+    CHECK(is_gone);
+  }
+}
+
 }  // namespace
 }  // namespace dotterellead
--- a/packages/proxy/src/home_flow.cc
+++ b/packages/proxy/src/home_flow.cc
@@ -50,13 +50,8 @@
   const auto* slot = std::get_if<assigned>(&where);
   if (slot == nullptr)
     return NotRun(to_string(rejection_reason::kNotHome));
-  // A host that was paused finds requests that nobody waits for any more.
-  if (caller.IsGone()) {
-    slots_.Release({.request = id,
-                    .result = attempt_result::kNotSent,
-                    .server = slot->server});
+  if (sender_.ReleaseIfGone(id, *slot, caller))
     return NotRun(kCancelledReason);
-  }
   slot_attempt done = sender_.Send(id, *slot, request, true, deadline, caller);
   const attempt_result result = done.result.result;
   answer = std::move(done.sent.result.answer);
--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -71,7 +71,10 @@
     c.received = Now();
     c.config = parts_.config();
     http_answer answer;
-    if (std::optional<http_answer> refusal = Prepare(c))
+    // A caller may leave while its earlier requests on the connection run.
+    if (caller.IsGone())
+      answer = MakeFailedAnswer(kCancelledReason, run_state::kNotRun);
+    else if (std::optional<http_answer> refusal = Prepare(c))
       answer = std::move(*refusal);
     else
       answer = c.match.idempotent ? RunIdempotent(c) : RunClaimed(c);
@@ -249,6 +252,8 @@
   }
 
   attempt_report SendOn(call& c, const assigned& slot) {
+    if (sender_.ReleaseIfGone(c.id, slot, c.caller))
+      return {.reason = std::string(kCancelledReason), .final = true};
     c.tried.push_back(slot.server);
     slot_attempt done = sender_.Send(c.id, slot, c.request, c.match.idempotent,
                                      c.deadline, c.caller);
--- a/packages/proxy/src/slot_sender.cc
+++ b/packages/proxy/src/slot_sender.cc
@@ -24,6 +24,17 @@
   return out;
 }
 
+bool slot_sender::ReleaseIfGone(request_id id,
+                                const assigned& slot,
+                                const http_peer& caller) {
+  if (!caller.IsGone())
+    return false;
+  slots_.Release({.request = id,
+                  .result = attempt_result::kNotSent,
+                  .server = slot.server});
+  return true;
+}
+
 slot_attempt slot_sender::Send(request_id id,
                                const assigned& slot,
                                const http_request& request,
--- a/packages/proxy/src/slot_sender.h
+++ b/packages/proxy/src/slot_sender.h
@@ -29,6 +29,12 @@
               const clock_source& clock)
       : slots_(slots), backends_(backends), clock_(clock) {}
 
+  // Gives the slot back unused if the caller has gone, as it may have while the
+  // request waited or this host was paused. Returns whether it has.
+  bool ReleaseIfGone(request_id id,
+                     const assigned& slot,
+                     const http_peer& caller);
+
   // Sends once. The answer comes without headers that are for one connection
   // only or for entry hosts only.
   slot_attempt Send(request_id id,
--- a/packages/proxy/tests/flow_fakes.h
+++ b/packages/proxy/tests/flow_fakes.h
@@ -3,6 +3,7 @@
 #define DOTTERELLEAD_TESTS_FLOW_FAKES_H_
 
 #include <deque>
+#include <functional>
 
 #include "dotterellead/proxy.h"
 
@@ -28,6 +29,8 @@
   std::variant<assigned, forwarded, acquire_rejected> Acquire(
       const acquire& wanted) override {
     asked.push_back(wanted);
+    if (on_acquire)
+      on_acquire();
     if (wanted.kind == acquire_kind::kForwardable && forwards-- > 0)
       return forwarded{wanted.request, member_id("home")};
     if (available == 0)
@@ -56,6 +59,8 @@
   std::vector<attempt_result> results;
   std::vector<acquire> asked;
   std::vector<forward_ended> ended;
+  // Called while a request waits for its slot.
+  std::function<void()> on_acquire;
 };
 
 class fake_claims : public claim_gate {
@@ -168,6 +173,8 @@
                const attempt_limits& limits,
                const http_peer&) override {
     ++sent;
+    if (on_send)
+      on_send();
     last_request = request;
     last_limits = limits;
     attempt next = script.front();
@@ -179,6 +186,8 @@
   int sent = 0;
   http_request last_request;
   attempt_limits last_limits;
+  // Called while the server works on a request.
+  std::function<void()> on_send;
 };
 
 // Plays a script of attempts at homes; the last one repeats.
--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -229,7 +229,7 @@
   const bool caller_keep_alive = request->keep_alive();
   const bool is_head = request->method() == http::verb::head;
   std::optional<caller_response> outcome =
-      co_await HandleRequest(stream, request, is_chunked, buffer.size() == 0);
+      co_await HandleRequest(stream, request, is_chunked);
   // The body is not needed while the response is written.
   request.reset();
   if (!outcome)
@@ -269,8 +269,7 @@
 task<std::optional<caller_response>> traffic_service::impl::HandleRequest(
     const std::shared_ptr<beast::tcp_stream>& stream,
     const std::shared_ptr<request_message>& request,
-    bool is_chunked,
-    bool can_watch) {
+    bool is_chunked) {
   const request_target target = ParseTarget(*request, is_chunked);
   if (!target.problem.empty()) {
     LogEvent(log_level::kInfo, "caller-request-unreadable",
@@ -280,6 +279,17 @@
         {},
         true};
   }
+  const auto caller_id = request->find(settings_.headers.request_id);
+  // The caller may have left while the response to an earlier request was
+  // awaited.
+  if (StateOf(stream->socket()) == caller_state::kLeft) {
+    LogEvent(log_level::kInfo, "caller-left",
+             {{"request", caller_id == request->end()
+                              ? std::string()
+                              : std::string(caller_id->value())},
+              {"sent", "no"}});
+    co_return std::nullopt;
+  }
   ++request_count_;
   auto open = std::make_shared<open_request>(io_);
   open->request = request;
@@ -289,7 +299,6 @@
   arrived.request = id;
   arrived.host = target.host;
   arrived.path = target.path;
-  const auto caller_id = request->find(settings_.headers.request_id);
   if (caller_id != request->end())
     arrived.caller_request_id = std::string(caller_id->value());
   const auto timeout = request->find(settings_.headers.timeout);
@@ -306,37 +315,17 @@
     co_return caller_response{MakeOwnResponse(http::status::service_unavailable,
                                               "overloaded", kFullPause, true)};
   }
-  if (can_watch)
-    Spawn(io_, "traffic-watch", WatchCaller(stream, id, open));
+  const auto recheck = std::make_shared<asio::steady_timer>(io_);
+  Spawn(io_, "traffic-watch", WatchCaller(stream, id, open, recheck));
   error_code ec;
   while (!open->is_finished)
     co_await open->finished.async_wait(Resume(ec));
   // Ends WatchCaller, so that it does not see bytes of the next request.
   stream->socket().cancel(ec);
+  recheck->cancel();
   co_return std::move(open->response);
 }
 
-task<> traffic_service::impl::WatchCaller(
-    std::shared_ptr<beast::tcp_stream> stream,
-    request_id id,
-    std::weak_ptr<open_request> weak) {
-  error_code ec;
-  co_await stream->socket().async_wait(tcp::socket::wait_read, Resume(ec));
-  open_request_ptr open = weak.lock();
-  if (ec || !open || open->is_finished)
-    co_return;
-  char byte = 0;
-  const ssize_t received = ::recv(stream->socket().native_handle(), &byte, 1,
-                                  MSG_PEEK | MSG_DONTWAIT);
-  // Data of a further request: the caller is still connected.
-  if (received > 0 ||
-      (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
-    co_return;
-  open->is_finished = true;
-  open->finished.cancel();
-  post_(dispatch::caller_disconnected{id});
-}
-
 response_message traffic_service::impl::ReadyResponse() const {
   const bool is_ready = is_ready_;
   return MakeOwnResponse(
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -84,6 +84,17 @@
                              start_drain,
                              stop_accepting>;
 
+// What a caller's connection tells while its request is in progress.
+enum class caller_state {
+  kSilent,
+  // Bytes of a further request wait to be read.
+  kHasSentMore,
+  // The caller has closed the connection, whether or not bytes wait. One that
+  // only ends its sending side cannot be told from it.
+  kLeft,
+};
+caller_state StateOf(tcp::socket& socket);
+
 class traffic_service::impl {
  public:
   impl(traffic_settings settings, to_dispatcher post);
@@ -134,12 +145,13 @@
   task<std::optional<caller_response>> HandleRequest(
       const std::shared_ptr<beast::tcp_stream>& stream,
       const std::shared_ptr<request_message>& request,
-      bool is_chunked,
-      bool can_watch);
-  // Detects that the caller disconnects before its response.
+      bool is_chunked);
+  // Detects that the caller disconnects before its response (caller_watch.cc).
+  // Ends once the socket's operations and `recheck` are cancelled.
   task<> WatchCaller(std::shared_ptr<beast::tcp_stream> stream,
                      request_id id,
-                     std::weak_ptr<open_request> open);
+                     std::weak_ptr<open_request> open,
+                     std::shared_ptr<asio::steady_timer> recheck);
   // Readiness checks and metrics; `make_response` is called for each request.
   task<> AcceptAuxiliary(tcp::acceptor& acceptor,
                          std::function<response_message()> make_response);
