Apply the limits in force to requests on open connections

Callers saw: after operators had raised the limit of the header size from 16,384 to 65,536 bytes, each longer header on a connection that was open before got 400 "buffer overflow" and was lost.

Cause: a connection's buffer got its size limit once, from the configuration in force at its opening. The parser took the limit in force, but the header did not fit into the buffer.

Change: the buffer gets its limit with each request. Two related faults had the same kind of cause. A connection that was idle while the idle timeout was raised ended by the former one; its wait starts again now. Before the first configuration the defaults gave 431 and 413, which no caller repeats; it is 503 with Retry-After now. Waiting for a request and closing idle connections moved to idle_callers.cc. Standalone limits do not change while the process runs.

caller_limits_test expected 413 of a host that had been given no configuration; it sets the limits first now and expects the same 413.

--- a/packages/limits/include/dotterellead/limits.h
+++ b/packages/limits/include/dotterellead/limits.h
@@ -55,8 +55,9 @@
 inline constexpr std::size_t kStartLineCopies = 4;
 // Bytes in a socket's send buffer that the network has not taken.
 inline constexpr int kMaxUnsentBytes = 128 << 10;
-// Retry-After of a request that found no memory.
-inline constexpr milliseconds kNoMemoryRetryAfter{1'000};
+// Retry-After of a request that was not read, for lack of memory or of a
+// configuration.
+inline constexpr milliseconds kUnreadRetryAfter{1'000};
 
 // Between entry hosts. A forwarded request has these in addition to the
 // caller's headers: the envelope, the signature, and those added by the client
--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -1,8 +1,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <algorithm>
-
 #include "dotterellead/read_message.h"
 #include "service_impl.h"
 
@@ -13,9 +11,6 @@
 constexpr int kBacklog = 1024;
 // Idle timeout of connections for readiness checks and metrics.
 constexpr milliseconds kAuxiliaryIdleTimeout{2'000};
-// How long the last connections may stay silent once the listening socket is
-// closed; their requests may be on their way.
-constexpr milliseconds kLastRequestWait{100};
 // Timeout for sending a response to a caller.
 constexpr milliseconds kWriteTimeout{10'000};
 // Delay before accepting again after a shortage of descriptors or memory.
@@ -108,24 +103,6 @@
         ServeCaller(std::move(stream), std::move(counted)));
 }
 
-bool traffic_service::impl::MakeRoomForCaller() {
-  if (open_caller_count_ < settings_.max_caller_connections)
-    return true;
-  const auto oldest =
-      std::min_element(idle_callers_.begin(), idle_callers_.end(),
-                       [](const auto& a, const auto& b) {
-                         return a.second.since < b.second.since;
-                       });
-  if (oldest == idle_callers_.end())
-    return false;
-  const auto stream = oldest->second.stream.lock();
-  idle_callers_.erase(oldest);
-  ++closed_caller_count_;
-  if (stream)
-    stream->close();
-  return true;
-}
-
 void traffic_service::impl::StopAccepting() {
   // Connections in the listening socket's queue may carry requests already.
   error_code ec;
@@ -142,24 +119,10 @@
   Spawn(io_, "traffic-closing", CloseSilentCallers());
 }
 
-task<> traffic_service::impl::CloseSilentCallers() {
-  asio::steady_timer wait(io_, kLastRequestWait);
-  error_code ec;
-  co_await wait.async_wait(Resume(ec));
-  CloseIdleCallers();
-}
-
-void traffic_service::impl::CloseIdleCallers() {
-  for (auto& [stream, caller] : idle_callers_)
-    if (auto idle = caller.stream.lock())
-      idle->cancel();
-}
-
 task<> traffic_service::impl::ServeCaller(
     std::shared_ptr<beast::tcp_stream> stream,
     std::shared_ptr<open_caller>) {
-  beast::flat_buffer buffer(limits_.header_size.value +
-                            limits::kMaxCallerUnparsedBytes);
+  beast::flat_buffer buffer;
   memory_account account(budget_, account_kind::kConnection);
   bool is_first = true;
   while (co_await ServeOneRequest(stream, buffer, account, is_first))
@@ -187,22 +150,11 @@
     beast::flat_buffer& buffer,
     memory_account& account,
     bool is_first) {
-  error_code ec;
-  // Waits for the first byte without holding a buffer for the idle connection.
   if (buffer.size() == 0) {
     if (is_draining_ && !is_first)
       co_return false;
-    buffer.shrink_to_fit();
-    account.Resize({limits::kCallerConnectionBytes},
-                   std::chrono::steady_clock::now());
-    idle_callers_[stream.get()] = {stream, std::chrono::steady_clock::now()};
-    stream->expires_after(limits_.idle_timeout);
-    const std::size_t received =
-        co_await stream->async_read_some(buffer.prepare(2048), Resume(ec));
-    idle_callers_.erase(stream.get());
-    if (ec)
+    if (!co_await AwaitRequest(stream, buffer, account))
       co_return false;
-    buffer.commit(received);
   }
   std::optional<caller_parser> parser(std::in_place);
   if (const auto unread =
@@ -216,7 +168,7 @@
               {"status", std::to_string(static_cast<int>(*unread->status))}});
     std::optional<milliseconds> retry_after;
     if (*unread->status == http::status::service_unavailable)
-      retry_after = limits::kNoMemoryRetryAfter;
+      retry_after = limits::kUnreadRetryAfter;
     // GCC 12 destroys a temporary argument of co_await twice.
     caller_response rejection;
     rejection.message =
--- a/packages/traffic/src/read_request.cc
+++ b/packages/traffic/src/read_request.cc
@@ -94,6 +94,11 @@
   const auto blocks = std::make_shared<body_blocks>(
       memory_account(budget_, account_kind::kRequest, address));
   parser.get().body().blocks = blocks;
+  // The limits of now, whenever the connection was opened. What is buffered
+  // already may be more.
+  buffer.max_size(std::max<std::size_t>(
+      buffer.size(),
+      limits_.header_size.value + limits::kMaxCallerUnparsedBytes));
   parser.header_limit(static_cast<std::uint32_t>(limits_.header_size.value));
   parser.body_limit(limits_.body_size.value);
   // The buffer grows up to its limit while the header is read.
@@ -136,6 +141,10 @@
     if (!ec && parser.chunked() && !blocks->ReserveHeader(HeaderBytes(parser)))
       co_return NoMemory();
   }
+  if (!has_limits_ &&
+      (ec == http::error::header_limit || ec == http::error::body_limit))
+    co_return unread_request{http::status::service_unavailable,
+                             "no configuration yet"};
   if (ec)
     co_return unread_request{StatusOfReadError(ec, true), ec.message()};
   account.Resize({limits::kCallerConnectionBytes + buffer.capacity()},
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -75,7 +75,7 @@
                        },
                        effect);
                  },
-                 [this](set_limits& changed) { limits_ = changed.limits; },
+                 [this](set_limits& changed) { ApplyLimits(changed.limits); },
                  [this](start_drain&) {
                    is_draining_ = true;
                    CloseIdleCallers();
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -63,6 +63,8 @@
 struct idle_caller {
   std::weak_ptr<beast::tcp_stream> stream;
   time_point since;
+  // Its wait was cancelled in order to go on with another idle timeout.
+  bool restarts_timeout = false;
 };
 
 // Why a request was not read whole.
@@ -114,11 +116,6 @@
   task<> ServeCaller(std::shared_ptr<beast::tcp_stream> stream,
                      std::shared_ptr<open_caller> counted);
   void StopAccepting();
-  task<> CloseSilentCallers();
-  void CloseIdleCallers();
-  // Closes the connection that is idle for the longest time if callers have
-  // all that they may open; false if none is idle.
-  bool MakeRoomForCaller();
   // Returns false if the connection is to be closed.
   task<bool> ServeOneRequest(const std::shared_ptr<beast::tcp_stream>& stream,
                              beast::flat_buffer& buffer,
@@ -128,6 +125,19 @@
                            caller_response outcome,
                            bool is_head,
                            bool keep_alive);
+  // Idle connections (idle_callers.cc). Waits for the first bytes of a request;
+  // false if the connection ends before them.
+  task<bool> AwaitRequest(const std::shared_ptr<beast::tcp_stream>& stream,
+                          beast::flat_buffer& buffer,
+                          memory_account& account);
+  // A longer idle timeout holds for connections that are idle now, a shorter
+  // one once they are idle again: their callers may count on the former one.
+  void ApplyLimits(const catalog::caller_limits& limits);
+  task<> CloseSilentCallers();
+  void CloseIdleCallers();
+  // Closes the connection that is idle for the longest time if callers have
+  // all that they may open; false if none is idle.
+  bool MakeRoomForCaller();
   // Reads one request within the host's budget (read_request.cc); nullopt if it
   // is read whole.
   task<std::optional<unread_request>> ReadRequest(
@@ -194,6 +204,8 @@
   std::map<request_id, open_request_ptr> open_requests_;
   std::uint64_t next_request_ = 1;
   catalog::caller_limits limits_;
+  // False before the first configuration, while `limits_` are a guess.
+  bool has_limits_ = false;
   bool is_draining_ = false;
   // Connections without a request in progress; closed when draining starts.
   std::map<beast::tcp_stream*, idle_caller> idle_callers_;
--- a/packages/traffic/tests/caller_limits_test.cc
+++ b/packages/traffic/tests/caller_limits_test.cc
@@ -21,6 +21,8 @@
   loopback_server server(
       kServerPort, [](const std::string& r) { return ServerResponse(r); });
   traffic_fixture w;
+  w.service.SetLimits({});
+  std::this_thread::sleep_for(milliseconds(50));
   const std::string expects = "Expect: 100-continue\r\n";
   const std::string beyond = w.Send(Post(2 << 20, expects));
   CHECK(Has(beyond, "HTTP/1.1 413"));
