Take an answer without a length for whole only after an orderly end

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written; they got that part as the complete answer.

Cause: a socket reports a reset once. The write beside the read got it, and the read after it found an ordinary end, which ends such an answer. How the write had ended was not looked at.

Change: after such an answer the write is stopped, and its error decides. A broken pipe stands for a reset after the server's own end; any other error is a lost connection. The write stops between two parts, so that an answer never waits for a server that does not read on.

--- a/packages/net/tests/net_test.cc
+++ b/packages/net/tests/net_test.cc
@@ -94,6 +94,52 @@
   tcp::acceptor acceptor_;
 };
 
+// Sends part of a response to the first byte of a request, and then resets the
+// connection.
+class resetting_server {
+ public:
+  resetting_server() : acceptor_(loop_.io(), ToTcp(kAddress)) {
+    SpawnLoop(loop_.io(), "test", [this] { return Accept(); });
+    loop_.Start("test");
+  }
+  ~resetting_server() { loop_.Stop(); }
+  int connections() const { return connections_; }
+
+ private:
+  task<> Accept() {
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\nabc";
+    while (true) {
+      error_code ec;
+      tcp::socket socket(loop_.io());
+      co_await acceptor_.async_accept(socket, Resume(ec));
+      ++connections_;
+      char byte = 0;
+      co_await socket.async_read_some(asio::buffer(&byte, 1), Resume(ec));
+      co_await asio::async_write(socket, asio::buffer(part), Resume(ec));
+      asio::steady_timer pause(loop_.io(), milliseconds(30));
+      co_await pause.async_wait(Resume(ec));
+      socket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
+  }
+
+  std::atomic<int> connections_ = 0;
+  event_loop loop_;
+  tcp::acceptor acceptor_;
+};
+
+control_response SendOnce(http::verb verb, const std::string& body) {
+  asio::io_context io;
+  control_client client(io, kAddress);
+  control_response response;
+  const std::string target = "/x";
+  const auto send = [&]() -> task<> {
+    response = co_await client.Send(verb, target, body, milliseconds(2'000));
+  };
+  asio::co_spawn(io, send(), asio::detached);
+  io.run_for(std::chrono::seconds(5));
+  return response;
+}
+
 // Sends two requests, the second one after a pause.
 control_response SendTwice(http::verb verb, milliseconds pause) {
   asio::io_context io;
@@ -184,6 +230,18 @@
   }
 }
 
+// Guards against part of a response that passes for the whole.
+TEST_CASE("a response that is reset while its request is sent is an error") {
+  for (const std::size_t size : {0U, 100U, 8U << 20}) {
+    CAPTURE(size);
+    const resetting_server server;
+    const control_response response =
+        SendOnce(http::verb::put, std::string(size, 'u'));
+    CHECK(response.status == 0);
+    CHECK(server.connections() == 1);
+  }
+}
+
 TEST_CASE("a connection that was idle for long is not used again") {
   const forgetful_server server;
   CHECK(
--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -383,5 +383,46 @@
   }
 }
 
+// Guards against part of an answer that passes for the whole: the reset during
+// the upload must not look like the end of a body without a length.
+TEST_CASE("an answer that is reset during an upload is never whole") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  for (const std::string& answer :
+       {head + "\r\nabc", head + "\r\n", interim + head + "\r\nabc",
+        head + "Content-Length: 6\r\n\r\nabc",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"}) {
+    for (const std::size_t body : {0U, 100U, 8U << 20}) {
+      CAPTURE(answer);
+      CAPTURE(body);
+      std::atomic<int> requests{0};
+      raw_server server([&](int connection) {
+        char byte = 0;
+        if (recv(connection, &byte, 1, 0) <= 0)
+          return;
+        ++requests;
+        Write(connection, answer);
+        std::this_thread::sleep_for(milliseconds(30));
+        // With unread bytes, a close resets the connection; so does this.
+        const linger abort{1, 0};
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+        const sockaddr unspecified{AF_UNSPEC, {}};
+        connect(connection, &unspecified, sizeof unspecified);
+      });
+      const system_clock_source clock;
+      const present_caller caller;
+      pooled_transport transport(clock);
+      const time_point now = clock.Now().steady;
+      const attempt sent = transport.Send(
+          server_id(server.address), {"POST", "/", {}, std::string(body, 'u')},
+          {.send_before = now + milliseconds(1'000),
+           .deadline = now + milliseconds(2'000)},
+          caller);
+      CHECK(sent.result.failure == send_failure::kCut);
+      CHECK(requests == 1);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace dotterellead
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -57,19 +57,46 @@
 // State of a request that is written concurrently, so that an early response
 // can be read while the body is still being sent.
 struct pending_write {
-  explicit pending_write(std::shared_ptr<const request_message> r)
-      : request(std::move(r)) {}
+  pending_write(std::shared_ptr<const request_message> r,
+                const asio::any_io_executor& executor)
+      : request(std::move(r)),
+        done(executor, asio::steady_timer::time_point::max()) {}
   std::shared_ptr<const request_message> request;
+  // The rest of the request is not to be written.
+  bool is_abandoned = false;
   bool is_done = false;
   error_code ec;
+  // Cancelled once `is_done` is set.
+  asio::steady_timer done;
 };
 
 task<> WriteRequest(connection_ptr connection,
                     std::shared_ptr<pending_write> write) {
   http::request_serializer<block_body, http::fields> serializer(
       *write->request);
-  co_await http::async_write(connection->stream, serializer, Resume(write->ec));
+  while (!write->ec && !serializer.is_done() && !write->is_abandoned)
+    co_await http::async_write_some(connection->stream, serializer,
+                                    Resume(write->ec));
+  if (!write->ec && !serializer.is_done())
+    write->ec = asio::error::operation_aborted;
   write->is_done = true;
+  write->done.cancel();
+}
+
+// Whether the server ended the connection in order, given that a read has found
+// its end. A socket reports a reset once, to the read or to the write; after a
+// write that got it, the next read finds an ordinary end.
+task<bool> IsOrderlyEnd(connection_ptr connection,
+                        std::shared_ptr<pending_write> write) {
+  // A write that has met the reset may not have been resumed yet.
+  write->is_abandoned = true;
+  connection->stream.cancel();
+  error_code ec;
+  while (!write->is_done)
+    co_await write->done.async_wait(Resume(ec));
+  // A reset after the server's orderly end is reported as a broken pipe.
+  co_return !write->ec || write->ec == asio::error::operation_aborted ||
+      write->ec == asio::error::broken_pipe;
 }
 
 // A response as it was read.
@@ -266,7 +293,8 @@
   }
   handle->connection = connection;
   connection->stream.expires_at(deadline);
-  auto write = std::make_shared<pending_write>(request);
+  auto write = std::make_shared<pending_write>(
+      request, connection->stream.get_executor());
   if (request->body().size() <= kSmallBodyBytes)
     co_await WriteRequest(connection, write);
   else
@@ -280,6 +308,8 @@
   const response_bounds bounds{limits::kMaxServerBodyBytes, deadline};
   received_response received =
       co_await ReadResponse(connection, context, id, bounds, is_head, ec);
+  if (!ec && received.needs_eof && !co_await IsOrderlyEnd(connection, write))
+    ec = asio::error::connection_reset;
   handle->connection = nullptr;
   if (received.is_invalid)
     LogInvalidResponse(server, ec);
