--- a/packages/traffic/src/caller_connections.cc
+++ b/packages/traffic/src/caller_connections.cc
@@ -234,7 +234,7 @@
   const auto caller_id = request->find(settings_.headers.request_id);
   // The caller may have left while the response to an earlier request was
   // awaited.
-  if (StateOf(stream->socket()) == caller_state::kLeft) {
+  if (CallerStateOf(stream->socket()) == caller_state::kLeft) {
     LogEvent(log_level::kInfo, "caller-left",
              {{"request", caller_id == request->end()
                               ? std::string()
--- a/packages/traffic/src/caller_watch.cc
+++ b/packages/traffic/src/caller_watch.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-caller_state StateOf(tcp::socket& socket) {
+caller_state CallerStateOf(tcp::socket& socket) {
   // Unread bytes do not hide a close from poll, as they do from recv.
   pollfd state{socket.native_handle(), POLLIN | POLLRDHUP, 0};
   if (::poll(&state, 1, 0) <= 0)
@@ -37,7 +37,7 @@
     std::shared_ptr<asio::steady_timer> recheck) {
   error_code ec;
   while (!ec) {
-    const caller_state state = StateOf(stream->socket());
+    const caller_state state = CallerStateOf(stream->socket());
     {
       const open_request_ptr open = weak.lock();
       if (!open || open->is_finished)
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -84,11 +84,11 @@
 }
 
 // Whether the server ended the connection in order, given that a read has found
-// its end. A socket reports a reset once, to the read or to the write; after a
-// write that got it, the next read finds an ordinary end.
+// its end. A socket reports a reset only once. If the write got it, the next
+// read finds an ordinary end. Stops the write if it is still in progress.
 task<bool> IsOrderlyEnd(connection_ptr connection,
                         std::shared_ptr<pending_write> write) {
-  // A write that has met the reset may not have been resumed yet.
+  // A write that has failed may not have been resumed yet.
   write->is_abandoned = true;
   connection->stream.cancel();
   error_code ec;
--- a/packages/traffic/src/idle_callers.cc
+++ b/packages/traffic/src/idle_callers.cc
@@ -46,7 +46,8 @@
     return;
   for (auto& [stream, caller] : idle_callers_) {
     caller.restarts_timeout = true;
-    stream->cancel();
+    if (auto idle = caller.stream.lock())
+      idle->cancel();
   }
 }
 
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -95,7 +95,7 @@
   // only ends its sending side cannot be told from it.
   kLeft,
 };
-caller_state StateOf(tcp::socket& socket);
+caller_state CallerStateOf(tcp::socket& socket);
 
 class traffic_service::impl {
  public:
