--- a/packages/proxy/tests/pooled_transport_test.cc
+++ b/packages/proxy/tests/pooled_transport_test.cc
@@ -407,7 +407,7 @@
         const linger abort{1, 0};
         setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
         const sockaddr unspecified{AF_UNSPEC, {}};
-        connect(connection, &unspecified, sizeof unspecified);
+        (void)connect(connection, &unspecified, sizeof unspecified);
       });
       const system_clock_source clock;
       const present_caller caller;
