Repeat the news of a caller that left while the dispatcher's ring is full

Callers saw nothing: they had left. Servers worked for them to the end, and requests in the queue were still sent.

When many callers left at once, those that found no room were marked as finished and never reported again, so the dispatcher kept their requests, placed them and left them at their servers.

Change: the watch of the connection repeats the message every 10 ms until it is taken or the dispatcher has ended the request by itself.

--- a/packages/traffic/src/caller_watch.cc
+++ b/packages/traffic/src/caller_watch.cc
@@ -10,6 +10,8 @@
 // How often a connection with unread bytes is checked. The event loop cannot
 // wait for its close alone: the bytes complete each wait for input at once.
 constexpr milliseconds kUnreadCheckInterval{100};
+// How often the dispatcher is told again while its ring is full.
+constexpr milliseconds kReportInterval{10};
 
 }  // namespace
 
@@ -45,8 +47,7 @@
       if (state == caller_state::kLeft) {
         open->is_finished = true;
         open->finished.cancel();
-        post_(dispatch::caller_disconnected{id});
-        co_return;
+        break;
       }
     }
     if (state == caller_state::kHasSentMore) {
@@ -56,6 +57,18 @@
       co_await stream->socket().async_wait(tcp::socket::wait_read, Resume(ec));
     }
   }
+  if (!ec)
+    co_await ReportCallerLeft(id);
+}
+
+task<> traffic_service::impl::ReportCallerLeft(request_id id) {
+  asio::steady_timer pause(io_);
+  error_code ec;
+  while (!ec && open_requests_.contains(id) &&
+         !post_(dispatch::caller_disconnected{id})) {
+    pause.expires_after(kReportInterval);
+    co_await pause.async_wait(Resume(ec));
+  }
 }
 
 }  // namespace dotterellead::traffic
--- a/packages/traffic/tests/left_caller_test.cc
+++ b/packages/traffic/tests/left_caller_test.cc
@@ -1,4 +1,4 @@
-// Callers that close their connection while further requests wait on it.
+// Callers that close their connection before the response.
 #include <doctest/doctest.h>
 
 #include <mutex>
@@ -54,11 +54,16 @@
   loopback_server server_;
 };
 
-bool IsNoticed(const traffic_fixture& w) {
+// Returns false if the condition does not hold within kMaxDetectionTime.
+bool Await(const std::function<bool()>& condition) {
   const time_point end = std::chrono::steady_clock::now() + kMaxDetectionTime;
-  while (w.disconnected == 0 && std::chrono::steady_clock::now() < end)
+  while (!condition() && std::chrono::steady_clock::now() < end)
     std::this_thread::sleep_for(milliseconds(2));
-  return w.disconnected == 1;
+  return condition();
+}
+
+bool IsNoticed(const traffic_fixture& w) {
+  return Await([&] { return w.disconnected > 0; }) && w.disconnected == 1;
 }
 
 struct leave_case {
@@ -161,3 +166,28 @@
   CHECK(server.request_count() == kRequests);
   CHECK(w.disconnected == 0);
 }
+
+// Guards against servers that work for callers that have left: when many left
+// at once, the dispatcher's ring was full and lost the news of some.
+TEST_CASE("a caller that leaves is reported once the dispatcher has room") {
+  constexpr int kCallers = 20;
+  slow_server server;
+  REQUIRE(server.ok());
+  traffic_fixture w;
+  w.is_ring_full = true;
+  {
+    std::vector<test_socket> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(test_socket::Connect(kFrontPort));
+      callers.back().Write(GetNumbered(i));
+    }
+    REQUIRE(server.AwaitRequests(kCallers));
+  }
+  REQUIRE(Await([&] { return w.lost_disconnects >= kCallers; }));
+  CHECK(w.disconnected == 0);
+  w.is_ring_full = false;
+  CHECK(Await([&] { return w.disconnected == kCallers; }));
+  // Once each.
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(w.disconnected == kCallers);
+}
--- a/packages/traffic/tests/traffic_fixture.h
+++ b/packages/traffic/tests/traffic_fixture.h
@@ -61,8 +61,7 @@
                  Names(),
                  max_buffered},
                 [this](dispatch::dispatcher::message m) {
-                  std::visit([this](auto& typed) { On(typed); }, m);
-                  return true;
+                  return Receive(std::move(m));
                 }) {
     service.Start();
   }
@@ -70,6 +69,17 @@
 
   static constexpr int kAttemptNumber = 1;
 
+  // Returns false if the message is lost, as by a full ring.
+  bool Receive(dispatch::dispatcher::message m) {
+    if (is_ring_full &&
+        std::holds_alternative<dispatch::caller_disconnected>(m)) {
+      ++lost_disconnects;
+      return false;
+    }
+    std::visit([this](auto& typed) { On(typed); }, m);
+    return true;
+  }
+
   template <class Message>
   void On(Message&) {}
   void On(dispatch::request_arrived& m) {
@@ -81,10 +91,16 @@
           dispatch::reject_request{m.request, *reject, milliseconds(250)});
       return;
     }
+    if (on_arrival)
+      on_arrival(m.request);
+    else
+      SendToServer(m.request);
+  }
+  void SendToServer(request_id request) {
     service.Execute(dispatch::send_attempt{
-        m.request,
+        request,
         {server_id("s-1"), {0x7f000001, kServerPort}, "/health", 4},
-        milliseconds(1'000),
+        timeout,
         kAttemptNumber,
         {},
         not_after});
@@ -119,6 +135,12 @@
 
   std::optional<dispatch::reject_reason> reject;
   std::optional<boot_time> not_after;
+  milliseconds timeout{1'000};
+  // Takes the place of sending a request to the server once it has arrived.
+  std::function<void(request_id)> on_arrival;
+  // Whether the dispatcher has no room for news of callers that left.
+  std::atomic<bool> is_ring_full = false;
+  std::atomic<int> lost_disconnects = 0;
   std::vector<dispatch::attempt_result> results;
   std::vector<std::uint64_t> fingerprints;
   std::string last_path;
