Do not send an attempt that was cancelled before it started

Callers saw nothing. A server got the request of a caller that had left, and worked on it to the end.

Cause: an attempt's coroutine starts in a later pass of the event loop than the command to send it. If the command to cancel it was handled in between, as when the host is busy and both wait in its mailbox, there was nothing to cancel yet, and the attempt went out afterwards. The loser of a hedge was affected in the same way.

Change: the attempt can be cancelled as soon as the command to send it has been handled.

Before: the new test failed for a request and for one attempt of it (1 request at the server in place of 0). Now it passes, 5 of 5 runs, and so do the other tests of the package.

--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -131,25 +131,33 @@
   auto it = open_requests_.find(e.request);
   if (it == open_requests_.end())
     return;
-  Spawn(io_, "traffic-attempt", RunAttempt(it->second, std::move(e)));
+  auto& attempts = it->second->attempts;
+  // The one before may have ended while the dispatcher sent this one, and may
+  // still be delivered.
+  std::erase_if(attempts, [&](const auto& entry) {
+    return entry.second.exchange == nullptr &&
+           entry.first + 1 < e.attempt_number;
+  });
+  // The coroutine starts later; the attempt can be cancelled before that.
+  auto handle = std::make_shared<exchange_handle>();
+  attempts[e.attempt_number].exchange = handle;
+  Spawn(io_, "traffic-attempt",
+        RunAttempt(it->second, std::move(e), std::move(handle)));
 }
 
-task<> traffic_service::impl::RunAttempt(open_request_ptr open,
-                                         dispatch::send_attempt attempt) {
+task<> traffic_service::impl::RunAttempt(
+    open_request_ptr open,
+    dispatch::send_attempt attempt,
+    std::shared_ptr<exchange_handle> handle) {
+  if (handle->is_cancelled)
+    co_return;
   // This process may have been frozen since the decision.
   if (attempt.not_after && boot_clock::now() >= *attempt.not_after) {
+    open->attempts.erase(attempt.attempt_number);
     post_(dispatch::attempt_ended{attempt.request, attempt.server.id,
                                   dispatch::attempt_result::kNotSent});
     co_return;
   }
-  auto handle = std::make_shared<exchange_handle>();
-  // The one before may have ended while the dispatcher sent this one, and may
-  // still be delivered.
-  std::erase_if(open->attempts, [&](const auto& entry) {
-    return entry.second.exchange == nullptr &&
-           entry.first + 1 < attempt.attempt_number;
-  });
-  open->attempts[attempt.attempt_number].exchange = handle;
   const time_point started = std::chrono::steady_clock::now();
   auto request = std::make_shared<const request_message>(MakeServerRequest(
       *open->request, open->path, settings_.headers, attempt));
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -181,7 +181,9 @@
   void On(dispatch::reject_request& e);
   void On(dispatch::cancel_request& e);
   void On(dispatch::close_connections& e);
-  task<> RunAttempt(open_request_ptr open, dispatch::send_attempt attempt);
+  task<> RunAttempt(open_request_ptr open,
+                    dispatch::send_attempt attempt,
+                    std::shared_ptr<exchange_handle> handle);
   task<> RunProbe(std::shared_ptr<struct probe_group> group,
                   dispatch::server_ref server,
                   milliseconds timeout);
--- /dev/null
+++ b/packages/traffic/tests/cancelled_attempt_test.cc
@@ -0,0 +1,109 @@
+// Attempts that are cancelled before, or while, a server gets the request.
+#include <doctest/doctest.h>
+
+#include <poll.h>
+
+#include "traffic_fixture.h"
+
+using namespace dotterellead;
+using namespace dotterellead::traffic;
+
+namespace {
+
+// From the caller's close until a server that watches its connection sees it.
+constexpr milliseconds kMaxCloseTime{500};
+// Longer than an attempt needs to reach the server.
+constexpr milliseconds kSettleTime{150};
+// A server that reads the header of each request, and then only watches for the
+// end of its connection.
+class watching_server {
+ public:
+  watching_server() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    setsockopt(listener_.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    // Small, so that the sender of a long body waits.
+    const int size = 4'096;
+    setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+    sockaddr_in a = test_socket::Address(kServerPort);
+    is_ok_ =
+        bind(listener_.fd(), reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+    listen(listener_.fd(), 8);
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~watching_server() {
+    is_ended_ = true;
+    shutdown(listener_.fd(), SHUT_RDWR);
+    thread_.join();
+  }
+  bool is_ok() const { return is_ok_; }
+  int request_count() const { return request_count_; }
+  int closed_count() const { return closed_count_; }
+
+ private:
+  void Run() {
+    while (!is_ended_) {
+      const test_socket s(accept(listener_.fd(), nullptr, nullptr));
+      if (!s.is_open())
+        return;
+      std::string header;
+      // Byte by byte, so that the body stays unread.
+      for (char byte = 0; !header.ends_with("\r\n\r\n"); header += byte)
+        if (recv(s.fd(), &byte, 1, 0) <= 0)
+          break;
+      request_count_ += header.ends_with("\r\n\r\n") ? 1 : 0;
+      AwaitEnd(s.fd());
+    }
+  }
+  void AwaitEnd(int fd) {
+    constexpr int kInterval = 10;
+    pollfd state{fd, POLLRDHUP, 0};
+    while (!is_ended_ && poll(&state, 1, kInterval) <= 0) {
+    }
+    closed_count_ += state.revents != 0 ? 1 : 0;
+  }
+
+  test_socket listener_;
+  bool is_ok_ = false;
+  std::atomic<int> request_count_ = 0;
+  std::atomic<int> closed_count_ = 0;
+  std::atomic<bool> is_ended_ = false;
+  std::thread thread_;
+};
+
+bool Await(const std::function<bool()>& condition) {
+  const time_point end = std::chrono::steady_clock::now() + kMaxCloseTime;
+  while (!condition() && std::chrono::steady_clock::now() < end)
+    std::this_thread::sleep_for(milliseconds(2));
+  return condition();
+}
+
+}  // namespace
+
+// Guards against servers that work for a caller that has left: an attempt that
+// was cancelled before its coroutine had started was sent all the same.
+TEST_CASE("an attempt that is cancelled at once reaches no server") {
+  // Of a request, and of one of its attempts.
+  for (const bool is_whole_request : {true, false}) {
+    CAPTURE(is_whole_request);
+    watching_server server;
+    REQUIRE(server.is_ok());
+    traffic_fixture w;
+    std::atomic<bool> has_arrived = false;
+    w.on_arrival = [&](request_id id) {
+      w.SendToServer(id);
+      if (is_whole_request)
+        w.service.Execute(dispatch::cancel_request{id});
+      else
+        w.service.Execute(
+            dispatch::cancel_attempt{id, traffic_fixture::kAttemptNumber});
+      has_arrived = true;
+    };
+    const test_socket caller = test_socket::Connect(kFrontPort);
+    caller.Write(Get());
+    REQUIRE(Await([&] { return has_arrived.load(); }));
+    std::this_thread::sleep_for(kSettleTime);
+    CHECK(server.request_count() == 0);
+    // Nobody waits for its outcome.
+    CHECK(w.results.empty());
+  }
+}
