--- a/packages/traffic/tests/left_caller_test.cc
+++ b/packages/traffic/tests/left_caller_test.cc
@@ -191,3 +191,27 @@
   std::this_thread::sleep_for(milliseconds(100));
   CHECK(w.disconnected == kCallers);
 }
+
+// Guards against a request that reaches a server although its caller is known
+// to have left: the dispatcher may place it before it gets the news.
+TEST_CASE("no attempt starts for a caller that is known to have left") {
+  slow_server server;
+  REQUIRE(server.ok());
+  traffic_fixture w;
+  std::atomic<std::uint64_t> arrived = 0;
+  w.on_arrival = [&](request_id id) { arrived = id.value(); };
+  w.is_ring_full = true;
+  {
+    const test_socket caller = test_socket::Connect(kFrontPort);
+    caller.Write(GetNumbered(1));
+    REQUIRE(Await([&] { return arrived != 0; }));
+  }
+  REQUIRE(Await([&] { return w.lost_disconnects > 0; }));
+  w.SendToServer(request_id(arrived));
+  std::this_thread::sleep_for(milliseconds(200));
+  CHECK(server.request_count() == 0);
+  // The dispatcher may count the server as unused.
+  REQUIRE(w.results.size() == 1);
+  CHECK(w.results[0] == dispatch::attempt_result::kNotSent);
+  w.is_ring_full = false;
+}
