Reset a cancelled request's connection if the server has not read it all

Callers saw nothing: they had left during a long request. Their servers worked on, and could not see that nobody waited any more.

Cause: closing a connection sends what the kernel still holds first. While a server does not read, the close waits behind those bytes, however long that takes. It was so for `entry` and for the standalone mode, also between hosts.

Change: a cancelled request whose connection has unsent bytes discards them, and its close resets the connection, which does not wait for the server to read. Other closes are as before.

Before: the new tests of both modes failed for bodies of 100 kB and 8 MiB (no close at the server within 500 ms). Now they pass, 5 of 5 runs each.

--- a/packages/http/src/deadline_stream.cc
+++ b/packages/http/src/deadline_stream.cc
@@ -10,6 +10,8 @@
 #include <cerrno>
 #include <limits>
 
+#include "dotterellead/unsent_bytes.h"
+
 namespace dotterellead {
 
 namespace {
@@ -58,8 +60,10 @@
 
 void deadline_stream::Cancel() {
   std::lock_guard lock(mutex_);
-  if (socket_ >= 0)
-    shutdown(socket_, SHUT_RDWR);
+  if (socket_ < 0)
+    return;
+  DiscardUnsentOnClose(socket_);
+  shutdown(socket_, SHUT_RDWR);
 }
 
 short deadline_stream::Wait(short events, milliseconds timeout) const {
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -493,5 +494,41 @@
   }
 }
 
+// Guards against servers that work for a caller that has left: the close waited
+// behind the part of the request that the server had not read.
+TEST_CASE("a server that has not read a whole request sees its cancellation") {
+  constexpr int kMaxCloseTime = 500;
+  // The last is more than the buffers of both sockets hold.
+  for (const std::size_t body : {0U, 100U, 100'000U, 8U << 20}) {
+    CAPTURE(body);
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int size = 4'096;
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+    REQUIRE(listen(listener, 1) == 0);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+    http_connection connection({"127.0.0.1", ntohs(address.sin_port)});
+    send_result result;
+    std::thread sender([&] {
+      result = connection.Send({"PUT", "/", {}, std::string(body, 'u')},
+                               milliseconds(10'000));
+    });
+    const int fd = accept(listener, nullptr, nullptr);
+    std::this_thread::sleep_for(milliseconds(100));
+    pollfd state{fd, POLLRDHUP, 0};
+    CHECK(poll(&state, 1, 0) == 0);
+    connection.Cancel();
+    CHECK(poll(&state, 1, kMaxCloseTime) == 1);
+    sender.join();
+    CHECK(result.failure == send_failure::kCancelled);
+    close(fd);
+    close(listener);
+  }
+}
+
 }  // namespace
 }  // namespace dotterellead
--- a/packages/traffic/src/exchange.cc
+++ b/packages/traffic/src/exchange.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include "dotterellead/limits.h"
+#include "dotterellead/unsent_bytes.h"
 
 namespace dotterellead::traffic {
 
@@ -269,8 +270,10 @@
 
 void exchange_handle::Cancel() {
   is_cancelled = true;
-  if (connection)
-    connection->stream.close();
+  if (!connection)
+    return;
+  DiscardUnsentOnClose(connection->stream.socket().native_handle());
+  connection->stream.close();
 }
 
 task<exchange_result> ExchangeRequest(
--- a/packages/traffic/tests/cancelled_attempt_test.cc
+++ b/packages/traffic/tests/cancelled_attempt_test.cc
@@ -14,6 +14,9 @@
 constexpr milliseconds kMaxCloseTime{500};
 // Longer than an attempt needs to reach the server.
 constexpr milliseconds kSettleTime{150};
+// More than the buffers of both sockets hold while the server does not read.
+constexpr std::size_t kLongBody = 8 << 20;
+
 // A server that reads the header of each request, and then only watches for the
 // end of its connection.
 class watching_server {
@@ -77,6 +80,12 @@
   return condition();
 }
 
+std::string Upload(std::size_t body) {
+  return "PUT /a/1 HTTP/1.1\r\nHost: h.example\r\nReq-Id: 17\r\n"
+         "Content-Length: " +
+         std::to_string(body) + "\r\n\r\n" + std::string(body, 'u');
+}
+
 }  // namespace
 
 // Guards against servers that work for a caller that has left: an attempt that
@@ -107,3 +116,30 @@
     CHECK(w.results.empty());
   }
 }
+
+// Guards against servers that work for a caller that has left: the close waited
+// behind the part of the request that the server had not read.
+TEST_CASE("a server that has not read a whole request sees its cancellation") {
+  for (const std::size_t body :
+       {std::size_t{0}, std::size_t{100}, std::size_t{100'000}, kLongBody}) {
+    CAPTURE(body);
+    watching_server server;
+    REQUIRE(server.is_ok());
+    traffic_fixture w;
+    w.timeout = milliseconds(10'000);
+    catalog::caller_limits limits;
+    limits.body_size = {kLongBody};
+    w.service.SetLimits(limits);
+    std::this_thread::sleep_for(milliseconds(20));
+    {
+      const test_socket caller = test_socket::Connect(kFrontPort);
+      caller.Write(Upload(body));
+      REQUIRE(Await([&] { return server.request_count() == 1; }));
+      // The body fills the buffers.
+      std::this_thread::sleep_for(kSettleTime);
+      CHECK(server.closed_count() == 0);
+    }
+    CHECK(Await([&] { return server.closed_count() == 1; }));
+    CHECK(w.disconnected == 1);
+  }
+}
