Do not pass a request of a caller that has left on to a home

Callers saw nothing. Standalone, a request whose caller had left while it waited at its host went on to the home of a server, which could send it before the cancellation arrived.

Cause: before an attempt on a slot of this host the caller's connection is looked at, before an attempt at a home it was not.

Change: it is, and the forward is reported as ended without a fault of the home.

Before: the new test failed (1 request at the home in place of 0). Now it passes.

--- a/packages/proxy/src/request_flow.cc
+++ b/packages/proxy/src/request_flow.cc
@@ -281,6 +281,14 @@
   attempt_report Forward(call& c,
                          const forwarded& to,
                          const version_id& version) {
+    if (c.caller.IsGone()) {
+      parts_.slots.EndForward({.request = c.id,
+                               .pool = c.match.pool,
+                               .home = to.home,
+                               .load = std::nullopt,
+                               .home_failed = false});
+      return {.reason = std::string(kCancelledReason), .final = true};
+    }
     const time_point now = Now();
     http_request out = OutgoingRequest(c.request, now, c.deadline);
     out.headers.push_back(
--- a/packages/proxy/tests/request_flow_test.cc
+++ b/packages/proxy/tests/request_flow_test.cc
@@ -263,5 +263,23 @@
   }
 }
 
+// Guards against a home that gets, and sends, a request whose caller had left
+// while it waited at this host.
+TEST_CASE("a request whose caller has gone reaches no home") {
+  fixture f;
+  f.slots.forwards = 1;
+  f.slots.on_acquire = [&] { f.caller.gone = true; };
+  const http_answer answer = f.Get();
+  CHECK(f.homes.sent == 0);
+  CHECK(f.backends.sent == 0);
+  CHECK(RunHeader(answer) == "not-run");
+  CHECK(f.observer.last_reason == "cancelled");
+  REQUIRE(f.slots.ended.size() == 1);
+  CHECK(f.slots.ended[0].home == member_id("home"));
+  CHECK_FALSE(f.slots.ended[0].home_failed);
+  CHECK_FALSE(f.slots.ended[0].load.has_value());
+  CHECK(f.admission.open == 0);
+}
+
 }  // namespace
 }  // namespace dotterellead
