Test each path on which a caller of entry can leave, against real processes

It checks when servers could see that nobody waits, and what reaches them later. `--servers sleeping` has servers that do not look at their connections during their work, `--trace` prints each run.

--- /dev/null
+++ b/tests/left_callers/left_callers_main.cc
@@ -0,0 +1,305 @@
+// Lets callers leave before their response, on each path that a request can
+// take, and checks that nothing reaches a server for them later, and that
+// servers can see that nobody waits.
+#include <fmt/core.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+
+#include "entry_world.h"
+
+namespace dotterellead::left_callers {
+namespace {
+
+// The operators' bounds: what reaches a server, or is still worked on, later
+// than this after the close; how many requests may, and which part of the work.
+constexpr milliseconds kBound{500};
+constexpr int kMaxLate = 3;
+constexpr int kMaxWorkedOnPart = 4;
+
+constexpr milliseconds kStay{150};
+
+// How a group of callers leaves.
+struct leave_case {
+  const char* name;
+  int callers = 1;
+  // On each connection, one behind the other.
+  int requests = 1;
+  const char* method = "GET";
+  const char* path = "/wide/work/";
+  std::size_t body = 0;
+  // Of the bytes, the last so many are not sent.
+  std::size_t unsent = 0;
+  bool resets = false;
+  // Runs at servers when the callers leave.
+  int runs = 1;
+  // The servers have no free slot.
+  bool is_full = false;
+  // Quick requests that come first.
+  int warm_up = 0;
+  // Their closes reach the host together.
+  bool is_at_once = false;
+};
+
+std::vector<leave_case> Cases() {
+  constexpr int kMany = 400;
+  // A busy host may turn some away.
+  constexpr int kMostOfMany = kMany * 9 / 10;
+  return {
+      {.name = "first", .callers = 12, .runs = 12},
+      {.name = "reset", .callers = 12, .resets = true, .runs = 12},
+      {.name = "ahead", .callers = 24, .requests = 3, .runs = 24},
+      {.name = "ahead-reset",
+       .callers = 12,
+       .requests = 3,
+       .resets = true,
+       .runs = 12},
+      {.name = "queued",
+       .callers = 12,
+       .path = "/narrow/work/",
+       .runs = 0,
+       .is_full = true},
+      {.name = "queued-once",
+       .callers = 12,
+       .method = "POST",
+       .path = "/once/work/",
+       .runs = 0,
+       .is_full = true},
+      {.name = "retried", .callers = 12, .path = "/wide/retry/", .runs = 24},
+      {.name = "hedged",
+       .callers = 6,
+       .path = "/hedged/work/",
+       .runs = 12,
+       .warm_up = 40},
+      {.name = "upload",
+       .callers = 6,
+       .method = "PUT",
+       .body = 900'000,
+       .runs = 6},
+      {.name = "upload-unread",
+       .callers = 6,
+       .method = "PUT",
+       .path = "/wide/unread/",
+       .body = 900'000,
+       .runs = 6},
+      {.name = "upload-unfinished",
+       .callers = 6,
+       .method = "PUT",
+       .body = 900'000,
+       .unsent = 10'000,
+       .runs = 0},
+      {.name = "stream", .callers = 12, .path = "/wide/stream/", .runs = 12},
+      {.name = "many",
+       .callers = kMany,
+       .path = "/wide/long/",
+       .runs = kMostOfMany,
+       .is_at_once = true},
+      {.name = "many-ahead",
+       .callers = kMany,
+       .requests = 3,
+       .path = "/wide/long/",
+       .runs = kMostOfMany,
+       .is_at_once = true},
+      {.name = "many-reset",
+       .callers = kMany,
+       .path = "/wide/long/",
+       .resets = true,
+       .runs = kMostOfMany,
+       .is_at_once = true},
+  };
+}
+
+std::string IdOf(const leave_case& c, int caller, int request) {
+  return fmt::format("{}-{}-{}", c.name, caller, request);
+}
+
+void Leave(int fd, bool resets) {
+  const linger reset{1, 0};
+  if (resets)
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  close(fd);
+}
+
+long Milliseconds(time_point from, time_point to) {
+  return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+// The servers' side of one case.
+struct outcome {
+  int runs_at_close = 0;
+  int late = 0;
+  // Of the runs that would have lasted longer than kBound after the close: in
+  // all, with a connection that was still open then, and worked on then.
+  int would_last = 0;
+  int unseen = 0;
+  int worked_on = 0;
+  long latest_close_ms = 0;
+};
+
+class case_runner {
+ public:
+  case_runner(entry_world& world, bool prints_trace)
+      : world_(world), prints_trace_(prints_trace) {}
+
+  outcome Run(const leave_case& c) {
+    left_at_.clear();
+    WarmUp(c);
+    std::vector<int> holders;
+    if (c.is_full)
+      holders = FillSlots(c);
+    std::vector<int> callers;
+    for (int i = 0; i < c.callers; ++i) {
+      callers.push_back(world_.Connect(BytesOf(c, i)));
+      // So that the host can place them all.
+      if (c.is_at_once)
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    std::this_thread::sleep_for(kStay);
+    // While the host is stopped, the closes wait for it together.
+    if (c.is_at_once)
+      world_.host().Signal(SIGSTOP);
+    for (int i = 0; i < c.callers; ++i) {
+      left_at_[i] = std::chrono::steady_clock::now();
+      Leave(callers[static_cast<std::size_t>(i)], c.resets);
+    }
+    if (c.is_at_once)
+      world_.host().Signal(SIGCONT);
+    // Until the last request would have ended.
+    std::this_thread::sleep_for(
+        (c.is_at_once ? kLongWorkTime : kWorkTime * c.requests) + kBound);
+    for (const int fd : holders)
+      close(fd);
+    return Judge(c);
+  }
+
+ private:
+  void WarmUp(const leave_case& c) const {
+    std::string bytes;
+    for (int i = 0; i < c.warm_up; ++i)
+      bytes += Request("GET", "/hedged/quick/", fmt::format("warm-{}", i));
+    if (c.warm_up == 0)
+      return;
+    const int fd = world_.Connect(bytes);
+    std::this_thread::sleep_for(kWorkTime);
+    close(fd);
+  }
+
+  std::vector<int> FillSlots(const leave_case& c) const {
+    constexpr int kHolders = 2;
+    std::vector<int> holders;
+    for (int i = 0; i < kHolders; ++i)
+      holders.push_back(world_.Connect(Request(
+          "GET", "/narrow/work/", fmt::format("holder-{}-{}", c.name, i))));
+    std::this_thread::sleep_for(kStay);
+    return holders;
+  }
+
+  static std::string BytesOf(const leave_case& c, int caller) {
+    std::string bytes;
+    for (int i = 0; i < c.requests; ++i)
+      bytes += Request(c.method, c.path, IdOf(c, caller, i), c.body);
+    bytes.resize(bytes.size() - c.unsent);
+    return bytes;
+  }
+
+  outcome Judge(const leave_case& c) const {
+    outcome o;
+    for (const server_run& run : world_.log().runs())
+      for (int caller = 0; caller < c.callers; ++caller)
+        for (int i = 0; i < c.requests; ++i)
+          if (run.id == IdOf(c, caller, i))
+            Count(run, left_at_.at(caller), o);
+    return o;
+  }
+
+  void Count(const server_run& run, time_point left, outcome& o) const {
+    const time_point bound = left + kBound;
+    o.runs_at_close += run.arrived <= left ? 1 : 0;
+    o.late += run.arrived > bound ? 1 : 0;
+    const bool would_last = run.arrived <= left &&
+                            run.arrived + run.work > bound &&
+                            !(run.ended && *run.ended <= left);
+    const bool is_unseen = !run.closed || *run.closed > bound;
+    o.would_last += would_last ? 1 : 0;
+    o.unseen += would_last && is_unseen ? 1 : 0;
+    o.worked_on += would_last && (!run.ended || *run.ended > bound) ? 1 : 0;
+    if (would_last && run.closed)
+      o.latest_close_ms =
+          std::max(o.latest_close_ms, Milliseconds(left, *run.closed));
+    if (prints_trace_)
+      fmt::print(
+          "  {}: at {} from {} ms after its caller's close, connection closed "
+          "after {} ms, worked on until {} ms\n",
+          run.id, run.server, Milliseconds(left, run.arrived),
+          run.closed ? std::to_string(Milliseconds(left, *run.closed)) : "-",
+          run.ended ? std::to_string(Milliseconds(left, *run.ended)) : "-");
+  }
+
+  entry_world& world_;
+  const bool prints_trace_;
+  std::map<int, time_point> left_at_;
+};
+
+// Whether the case was played as meant, and all bounds hold. Servers that do
+// not look at their connections are judged by when they could have seen the
+// close.
+bool Check(const leave_case& c, const outcome& o, bool servers_drop_at_close) {
+  const int worked_on = servers_drop_at_close ? o.worked_on : o.unseen;
+  const bool holds = o.runs_at_close >= c.runs && o.late <= kMaxLate &&
+                     worked_on * kMaxWorkedOnPart <= o.would_last;
+  fmt::print(
+      "{}: {}: {} runs at the close, {} expected; {} reached a server later "
+      "than {} ms; of {} that would have lasted so long, {} had an open "
+      "connection then, {} were worked on; last close seen after {} ms\n",
+      holds ? "holds" : "BROKEN", c.name, o.runs_at_close, c.runs, o.late,
+      kBound.count(), o.would_last, o.unseen, o.worked_on, o.latest_close_ms);
+  return holds;
+}
+
+int RunAll(const std::string& binary,
+           const std::string& only,
+           bool servers_drop_at_close,
+           bool prints_trace) {
+  entry_world world(binary, servers_drop_at_close);
+  if (!world.AwaitServing()) {
+    fmt::print("BROKEN: the host does not serve after its start\n");
+    return 1;
+  }
+  case_runner runner(world, prints_trace);
+  bool holds = true;
+  bool is_known = false;
+  for (const leave_case& c : Cases()) {
+    if (!only.empty() && only != c.name)
+      continue;
+    is_known = true;
+    holds &= Check(c, runner.Run(c), servers_drop_at_close);
+  }
+  if (!is_known)
+    fmt::print("unknown case {}\n", only);
+  return holds && is_known ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace dotterellead::left_callers
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string binary;
+  std::string only;
+  std::string servers = "watching";
+  bool prints_trace = false;
+  CLI::App app("Checks what goes on after callers have left.");
+  app.add_option("--binary", binary, "the dotterellead program")->required();
+  app.add_option("--case", only, "plays this case alone");
+  app.add_option("--servers", servers,
+                 "watching: they drop a request whose connection closes; "
+                 "sleeping: they do not look at it during their work")
+      ->check(CLI::IsMember({"watching", "sleeping"}));
+  app.add_flag("--trace", prints_trace, "prints each run at a server");
+  CLI11_PARSE(app, argc, argv);
+  return dotterellead::left_callers::RunAll(binary, only, servers == "watching",
+                                            prints_trace);
+}
