--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -494,7 +494,7 @@
   }
 }
 
-// Guards against servers that work for a caller that has left: the close waited
+// Guards against servers that work for a disconnected caller: the close waited
 // behind the part of the request that the server had not read.
 TEST_CASE("a server that has not read a whole request sees its cancellation") {
   constexpr int kMaxCloseTime = 500;
--- a/packages/proxy/tests/request_flow_test.cc
+++ b/packages/proxy/tests/request_flow_test.cc
@@ -263,9 +263,9 @@
   }
 }
 
-// Guards against a home that gets, and sends, a request whose caller had left
-// while it waited at this host.
-TEST_CASE("a request whose caller has gone reaches no home") {
+// Guards against a home that receives, and sends, a request whose caller had
+// disconnected while it waited at this host.
+TEST_CASE("a request of a disconnected caller reaches no home") {
   fixture f;
   f.slots.forwards = 1;
   f.slots.on_acquire = [&] { f.caller.gone = true; };
--- a/packages/traffic/src/caller_watch.cc
+++ b/packages/traffic/src/caller_watch.cc
@@ -10,8 +10,8 @@
 // How often a connection with unread bytes is checked. The event loop cannot
 // wait for its close alone: the bytes complete each wait for input at once.
 constexpr milliseconds kUnreadCheckInterval{100};
-// How often the dispatcher is told again while its ring is full.
-constexpr milliseconds kReportInterval{10};
+// Interval between attempts to notify the dispatcher while its ring is full.
+constexpr milliseconds kNotifyInterval{10};
 
 }  // namespace
 
@@ -58,15 +58,15 @@
     }
   }
   if (!ec)
-    co_await ReportCallerLeft(id);
+    co_await ReportDisconnect(id);
 }
 
-task<> traffic_service::impl::ReportCallerLeft(request_id id) {
+task<> traffic_service::impl::ReportDisconnect(request_id id) {
   asio::steady_timer pause(io_);
   error_code ec;
   while (!ec && open_requests_.contains(id) &&
          !post_(dispatch::caller_disconnected{id})) {
-    pause.expires_after(kReportInterval);
+    pause.expires_after(kNotifyInterval);
     co_await pause.async_wait(Resume(ec));
   }
 }
--- a/packages/traffic/src/service.cc
+++ b/packages/traffic/src/service.cc
@@ -151,8 +151,8 @@
     std::shared_ptr<exchange_handle> handle) {
   if (handle->is_cancelled)
     co_return;
-  // This process may have been frozen since the decision, or the dispatcher
-  // made it before it got the news that the caller has left.
+  // This process may have been frozen since the decision, or the caller has
+  // disconnected and the dispatcher has not processed that yet.
   const bool is_late =
       attempt.not_after && boot_clock::now() >= *attempt.not_after;
   if (is_late || open->is_finished) {
--- a/packages/traffic/src/service_impl.h
+++ b/packages/traffic/src/service_impl.h
@@ -162,9 +162,9 @@
                      request_id id,
                      std::weak_ptr<open_request> open,
                      std::shared_ptr<asio::steady_timer> recheck);
-  // Repeats the message while the dispatcher's ring is full, as it is when many
-  // callers leave at once: without it their requests would go on.
-  task<> ReportCallerLeft(request_id id);
+  // Notifies the dispatcher, and retries while its ring is full, as it may be
+  // when many callers disconnect at once.
+  task<> ReportDisconnect(request_id id);
   // Readiness checks and metrics; `make_response` is called for each request.
   task<> AcceptAuxiliary(tcp::acceptor& acceptor,
                          std::function<response_message()> make_response);
--- a/packages/traffic/tests/cancelled_attempt_test.cc
+++ b/packages/traffic/tests/cancelled_attempt_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-// From the caller's close until a server that watches its connection sees it.
+// Limit from the caller's close until the server detects the end.
 constexpr milliseconds kMaxCloseTime{500};
 // Longer than an attempt needs to reach the server.
 constexpr milliseconds kSettleTime{150};
@@ -88,7 +88,7 @@
 
 }  // namespace
 
-// Guards against servers that work for a caller that has left: an attempt that
+// Guards against servers that work for a disconnected caller: an attempt that
 // was cancelled before its coroutine had started was sent all the same.
 TEST_CASE("an attempt that is cancelled at once reaches no server") {
   // Of a request, and of one of its attempts.
@@ -112,12 +112,11 @@
     REQUIRE(Await([&] { return has_arrived.load(); }));
     std::this_thread::sleep_for(kSettleTime);
     CHECK(server.request_count() == 0);
-    // Nobody waits for its outcome.
     CHECK(w.results.empty());
   }
 }
 
-// Guards against servers that work for a caller that has left: the close waited
+// Guards against servers that work for a disconnected caller: the close waited
 // behind the part of the request that the server had not read.
 TEST_CASE("a server that has not read a whole request sees its cancellation") {
   for (const std::size_t body :
--- a/packages/traffic/tests/left_caller_test.cc
+++ b/packages/traffic/tests/left_caller_test.cc
@@ -167,9 +167,9 @@
   CHECK(w.disconnected == 0);
 }
 
-// Guards against servers that work for callers that have left: when many left
-// at once, the dispatcher's ring was full and lost the news of some.
-TEST_CASE("a caller that leaves is reported once the dispatcher has room") {
+// Guards against servers that work for disconnected callers: when many
+// disconnected at once, the dispatcher's full ring dropped some notifications.
+TEST_CASE("a disconnected caller is reported once the ring has capacity") {
   constexpr int kCallers = 20;
   slow_server server;
   REQUIRE(server.ok());
@@ -183,18 +183,18 @@
     }
     REQUIRE(server.AwaitRequests(kCallers));
   }
-  REQUIRE(Await([&] { return w.lost_disconnects >= kCallers; }));
+  REQUIRE(Await([&] { return w.rejected_disconnects >= kCallers; }));
   CHECK(w.disconnected == 0);
   w.is_ring_full = false;
   CHECK(Await([&] { return w.disconnected == kCallers; }));
-  // Once each.
+  // Once for each caller.
   std::this_thread::sleep_for(milliseconds(100));
   CHECK(w.disconnected == kCallers);
 }
 
 // Guards against a request that reaches a server although its caller is known
-// to have left: the dispatcher may place it before it gets the news.
-TEST_CASE("no attempt starts for a caller that is known to have left") {
+// to have disconnected: the dispatcher may place it before it is notified.
+TEST_CASE("no attempt starts for a caller that has disconnected") {
   slow_server server;
   REQUIRE(server.ok());
   traffic_fixture w;
@@ -206,11 +206,10 @@
     caller.Write(GetNumbered(1));
     REQUIRE(Await([&] { return arrived != 0; }));
   }
-  REQUIRE(Await([&] { return w.lost_disconnects > 0; }));
+  REQUIRE(Await([&] { return w.rejected_disconnects > 0; }));
   w.SendToServer(request_id(arrived));
   std::this_thread::sleep_for(milliseconds(200));
   CHECK(server.request_count() == 0);
-  // The dispatcher may count the server as unused.
   REQUIRE(w.results.size() == 1);
   CHECK(w.results[0] == dispatch::attempt_result::kNotSent);
   w.is_ring_full = false;
--- a/packages/traffic/tests/traffic_fixture.h
+++ b/packages/traffic/tests/traffic_fixture.h
@@ -69,11 +69,11 @@
 
   static constexpr int kAttemptNumber = 1;
 
-  // Returns false if the message is lost, as by a full ring.
+  // Returns false if the message is rejected, as by a full ring.
   bool Receive(dispatch::dispatcher::message m) {
     if (is_ring_full &&
         std::holds_alternative<dispatch::caller_disconnected>(m)) {
-      ++lost_disconnects;
+      ++rejected_disconnects;
       return false;
     }
     std::visit([this](auto& typed) { On(typed); }, m);
@@ -136,11 +136,11 @@
   std::optional<dispatch::reject_reason> reject;
   std::optional<boot_time> not_after;
   milliseconds timeout{1'000};
-  // Takes the place of sending a request to the server once it has arrived.
+  // Called instead of SendToServer when a request arrives.
   std::function<void(request_id)> on_arrival;
-  // Whether the dispatcher has no room for news of callers that left.
+  // Whether the dispatcher rejects notifications of disconnected callers.
   std::atomic<bool> is_ring_full = false;
-  std::atomic<int> lost_disconnects = 0;
+  std::atomic<int> rejected_disconnects = 0;
   std::vector<dispatch::attempt_result> results;
   std::vector<std::uint64_t> fingerprints;
   std::string last_path;
--- a/tests/left_callers/left_callers_main.cc
+++ b/tests/disconnects/disconnects_main.cc
@@ -1,6 +1,6 @@
-// Lets callers leave before their response, on each path that a request can
-// take, and checks that nothing reaches a server for them later, and that
-// servers can see that nobody waits.
+// Disconnects callers before their response, on each path of a request, and
+// checks that no server receives their requests later, and that servers can
+// detect it.
 #include <fmt/core.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,9 +10,9 @@
 #include <csignal>
 #include <map>
 
-#include "entry_world.h"
+#include "entry_environment.h"
 
-namespace dotterellead::left_callers {
+namespace dotterellead::disconnects {
 namespace {
 
 // The operators' bounds: no request reaches a server later than this after the
@@ -20,12 +20,12 @@
 constexpr milliseconds kBound{500};
 constexpr int kMaxWorkedOnPart = 4;
 
-constexpr milliseconds kStay{150};
+constexpr milliseconds kConnectedTime{150};
 
 enum class ending { kClose, kSendingSide, kReset };
 
-// How a group of callers leaves.
-struct leave_case {
+// A group of callers that disconnect.
+struct disconnect_case {
   const char* name;
   int callers = 1;
   // On each connection, one behind the other.
@@ -38,11 +38,11 @@
   // The body is sent in chunks.
   bool is_chunked = false;
   ending how = ending::kClose;
-  // Runs at servers when the callers leave.
+  // Runs at servers when the callers disconnect.
   int runs = 1;
-  // Callers that stay, and hold one of the two narrow slots each.
+  // Callers that stay connected, and occupy one of the two narrow slots each.
   int holders = 0;
-  // Callers that come at once after the others have left.
+  // Callers that connect right after the others disconnected.
   int successors = 0;
   // Quick requests that come first.
   int warm_up = 0;
@@ -50,7 +50,7 @@
   bool is_at_once = false;
 };
 
-std::vector<leave_case> Cases() {
+std::vector<disconnect_case> Cases() {
   constexpr int kMany = 400;
   // A busy host may turn some away.
   constexpr int kMostOfMany = kMany * 9 / 10;
@@ -144,11 +144,11 @@
   };
 }
 
-std::string IdOf(const leave_case& c, int caller, int request) {
+std::string IdOf(const disconnect_case& c, int caller, int request) {
   return fmt::format("{}-{}-{}", c.name, caller, request);
 }
 
-void Leave(int fd, ending how) {
+void Disconnect(int fd, ending how) {
   const linger reset{1, 0};
   if (how == ending::kReset)
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -173,40 +173,40 @@
   int worked_on = 0;
   long latest_close_ms = 0;
   // A server worked on more requests than it has slots, those of callers that
-  // had left included.
+  // had disconnected included.
   bool has_exceeded_slots = false;
 };
 
 class case_runner {
  public:
-  case_runner(entry_world& world, bool prints_trace)
-      : world_(world), prints_trace_(prints_trace) {}
+  case_runner(entry_environment& environment, bool prints_trace)
+      : environment_(environment), prints_trace_(prints_trace) {}
 
-  outcome Run(const leave_case& c) {
-    left_at_.clear();
+  outcome Run(const disconnect_case& c) {
+    disconnected_at_.clear();
     WarmUp(c);
     std::vector<int> holders;
     for (int i = 0; i < c.holders; ++i)
       holders.push_back(Hold(c, "holder", i));
     if (c.holders > 0)
-      std::this_thread::sleep_for(kStay);
+      std::this_thread::sleep_for(kConnectedTime);
     std::vector<int> callers;
     for (int i = 0; i < c.callers; ++i) {
-      callers.push_back(world_.Connect(BytesOf(c, i)));
-      // So that the host can place them all.
+      callers.push_back(environment_.Connect(BytesOf(c, i)));
+      // Lets the host place all requests.
       if (c.is_at_once)
         std::this_thread::sleep_for(milliseconds(1));
     }
-    std::this_thread::sleep_for(kStay);
+    std::this_thread::sleep_for(kConnectedTime);
     // While the host is stopped, the closes wait for it together.
     if (c.is_at_once)
-      world_.host().Signal(SIGSTOP);
+      environment_.host().Signal(SIGSTOP);
     for (int i = 0; i < c.callers; ++i) {
-      left_at_[i] = std::chrono::steady_clock::now();
-      Leave(callers[static_cast<std::size_t>(i)], c.how);
+      disconnected_at_[i] = std::chrono::steady_clock::now();
+      Disconnect(callers[static_cast<std::size_t>(i)], c.how);
     }
     if (c.is_at_once)
-      world_.host().Signal(SIGCONT);
+      environment_.host().Signal(SIGCONT);
     for (int i = 0; i < c.successors; ++i)
       holders.push_back(Hold(c, "successor", i));
     // Until the last request would have ended.
@@ -217,27 +217,27 @@
     if (c.how == ending::kSendingSide)
       for (const int fd : callers)
         close(fd);
-    return Judge(c);
+    return Evaluate(c);
   }
 
  private:
-  void WarmUp(const leave_case& c) const {
+  void WarmUp(const disconnect_case& c) const {
     std::string bytes;
     for (int i = 0; i < c.warm_up; ++i)
       bytes += Request("GET", "/hedged/quick/", fmt::format("warm-{}", i));
     if (c.warm_up == 0)
       return;
-    const int fd = world_.Connect(bytes);
+    const int fd = environment_.Connect(bytes);
     std::this_thread::sleep_for(kWorkTime);
     close(fd);
   }
 
-  int Hold(const leave_case& c, const char* kind, int number) const {
-    return world_.Connect(Request(
+  int Hold(const disconnect_case& c, const char* kind, int number) const {
+    return environment_.Connect(Request(
         "GET", "/narrow/work/", fmt::format("{}-{}-{}", kind, c.name, number)));
   }
 
-  static std::string BytesOf(const leave_case& c, int caller) {
+  static std::string BytesOf(const disconnect_case& c, int caller) {
     std::string bytes;
     for (int i = 0; i < c.requests; ++i)
       bytes +=
@@ -246,49 +246,53 @@
     return bytes;
   }
 
-  outcome Judge(const leave_case& c) const {
+  outcome Evaluate(const disconnect_case& c) const {
     outcome o;
-    o.has_exceeded_slots = world_.has_exceeded_slots();
-    for (const server_run& run : world_.log().runs())
+    o.has_exceeded_slots = environment_.has_exceeded_slots();
+    for (const server_run& run : environment_.log().runs())
       for (int caller = 0; caller < c.callers; ++caller)
         for (int i = 0; i < c.requests; ++i)
           if (run.id == IdOf(c, caller, i))
-            Count(run, left_at_.at(caller), o);
+            Count(run, disconnected_at_.at(caller), o);
     return o;
   }
 
-  void Count(const server_run& run, time_point left, outcome& o) const {
-    const time_point bound = left + kBound;
-    o.runs_at_close += run.arrived <= left ? 1 : 0;
+  void Count(const server_run& run, time_point disconnected, outcome& o) const {
+    const time_point bound = disconnected + kBound;
+    o.runs_at_close += run.arrived <= disconnected ? 1 : 0;
     o.late += run.arrived > bound ? 1 : 0;
-    const bool would_last = run.arrived <= left &&
+    const bool would_last = run.arrived <= disconnected &&
                             run.arrived + run.work > bound &&
-                            !(run.ended && *run.ended <= left);
+                            !(run.ended && *run.ended <= disconnected);
     const bool is_unseen = !run.closed || *run.closed > bound;
     o.would_last += would_last ? 1 : 0;
     o.unseen += would_last && is_unseen ? 1 : 0;
     o.worked_on += would_last && (!run.ended || *run.ended > bound) ? 1 : 0;
     if (would_last && run.closed)
       o.latest_close_ms =
-          std::max(o.latest_close_ms, Milliseconds(left, *run.closed));
+          std::max(o.latest_close_ms, Milliseconds(disconnected, *run.closed));
     if (prints_trace_)
       fmt::print(
           "  {}: at {} from {} ms after its caller's close, connection closed "
           "after {} ms, worked on until {} ms\n",
-          run.id, run.server, Milliseconds(left, run.arrived),
-          run.closed ? std::to_string(Milliseconds(left, *run.closed)) : "-",
-          run.ended ? std::to_string(Milliseconds(left, *run.ended)) : "-");
+          run.id, run.server, Milliseconds(disconnected, run.arrived),
+          run.closed ? std::to_string(Milliseconds(disconnected, *run.closed))
+                     : "-",
+          run.ended ? std::to_string(Milliseconds(disconnected, *run.ended))
+                    : "-");
   }
 
-  entry_world& world_;
+  entry_environment& environment_;
   const bool prints_trace_;
-  std::map<int, time_point> left_at_;
+  std::map<int, time_point> disconnected_at_;
 };
 
-// Whether the case was played as meant, and all bounds hold. Servers that do
-// not look at their connections are judged by when they could have seen the
-// close.
-bool Check(const leave_case& c, const outcome& o, bool servers_drop_at_close) {
+// Whether the case was set up as intended, and all bounds hold. For servers
+// that ignore their connections the time counts at which they could have
+// detected the close.
+bool Check(const disconnect_case& c,
+           const outcome& o,
+           bool servers_drop_at_close) {
   const int worked_on = servers_drop_at_close ? o.worked_on : o.unseen;
   const bool holds = o.runs_at_close >= c.runs && o.late == 0 &&
                      worked_on * kMaxWorkedOnPart <= o.would_last &&
@@ -307,15 +311,15 @@
            const std::string& only,
            bool servers_drop_at_close,
            bool prints_trace) {
-  entry_world world(binary, servers_drop_at_close);
-  if (!world.AwaitServing()) {
+  entry_environment environment(binary, servers_drop_at_close);
+  if (!environment.AwaitServing()) {
     fmt::print("BROKEN: the host does not serve after its start\n");
     return 1;
   }
-  case_runner runner(world, prints_trace);
+  case_runner runner(environment, prints_trace);
   bool holds = true;
   bool is_known = false;
-  for (const leave_case& c : Cases()) {
+  for (const disconnect_case& c : Cases()) {
     if (!only.empty() && only != c.name)
       continue;
     is_known = true;
@@ -327,7 +331,7 @@
 }
 
 }  // namespace
-}  // namespace dotterellead::left_callers
+}  // namespace dotterellead::disconnects
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -335,15 +339,15 @@
   std::string only;
   std::string servers = "watching";
   bool prints_trace = false;
-  CLI::App app("Checks what goes on after callers have left.");
+  CLI::App app("Checks what servers do after callers disconnected.");
   app.add_option("--binary", binary, "the dotterellead program")->required();
   app.add_option("--case", only, "plays this case alone");
   app.add_option("--servers", servers,
                  "watching: they drop a request whose connection closes; "
-                 "sleeping: they do not look at it during their work")
-      ->check(CLI::IsMember({"watching", "sleeping"}));
+                 "ignoring: they do not check it during their work")
+      ->check(CLI::IsMember({"watching", "ignoring"}));
   app.add_flag("--trace", prints_trace, "prints each run at a server");
   CLI11_PARSE(app, argc, argv);
-  return dotterellead::left_callers::RunAll(binary, only, servers == "watching",
-                                            prints_trace);
+  return dotterellead::disconnects::RunAll(binary, only, servers == "watching",
+                                           prints_trace);
 }
--- a/tests/left_callers/entry_world.cc
+++ b/tests/disconnects/entry_environment.cc
@@ -1,4 +1,4 @@
-#include "entry_world.h"
+#include "entry_environment.h"
 
 #include <arpa/inet.h>
 #include <fmt/core.h>
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <fstream>
 
-namespace dotterellead::left_callers {
+namespace dotterellead::disconnects {
 
 namespace {
 
@@ -22,12 +22,12 @@
 constexpr int kFrontPort = 10;
 constexpr int kReadyPort = 11;
 constexpr int kPeerPort = 12;
-constexpr int kPortsPerWorld = 16;
+constexpr int kPortsPerRun = 16;
 
 // Ports from this one on; runs at the same time rarely meet.
 int FirstPort() {
-  constexpr int kWorlds = 200;
-  return 20'000 + static_cast<int>(getpid()) % kWorlds * kPortsPerWorld;
+  constexpr int kRuns = 200;
+  return 20'000 + static_cast<int>(getpid()) % kRuns * kPortsPerRun;
 }
 
 // Lets processes that are started meanwhile run on one core only, as hosts do
@@ -58,9 +58,10 @@
 
 }  // namespace
 
-entry_world::entry_world(const std::string& binary, bool servers_drop_at_close)
+entry_environment::entry_environment(const std::string& binary,
+                                     bool servers_drop_at_close)
     : port_(FirstPort()),
-      settings_file_(fmt::format("left-callers-{}.conf", getpid())),
+      settings_file_(fmt::format("disconnects-{}.conf", getpid())),
       store_(io_, port_ + kStorePort) {
   constexpr int kWideSlots = 100;
   PutConfig();
@@ -76,18 +77,18 @@
   thread_ = std::thread([this] { io_.run(); });
 }
 
-entry_world::~entry_world() {
+entry_environment::~entry_environment() {
   host_.reset();
   io_.stop();
   thread_.join();
   unlink(settings_file_.c_str());
 }
 
-socket_address entry_world::Address(int offset) const {
+socket_address entry_environment::Address(int offset) const {
   return {"127.0.0.1", static_cast<std::uint16_t>(port_ + offset)};
 }
 
-void entry_world::StartHost(const std::string& binary) {
+void entry_environment::StartHost(const std::string& binary) {
   std::ofstream(settings_file_)
       << "log-level=warning\nhedge-share=1\nrepeat-slack=1000\n"
          "probes-per-s=1000\n";
@@ -100,10 +101,10 @@
           Address(kPeerPort).ToString(), "--seeds",
           Address(kPeerPort).ToString(), "--store",
           Address(kStorePort).ToString(), "--config", settings_file_},
-      std::vector<std::string>{}, fmt::format("left-callers-{}.log", getpid()));
+      std::vector<std::string>{}, fmt::format("disconnects-{}.log", getpid()));
 }
 
-void entry_world::PutConfig() {
+void entry_environment::PutConfig() {
   store_.Put(
       "keyed.op", "config",
       R"({"version":"00000001","routes":{"columns":["name","host",)"
@@ -119,7 +120,7 @@
       R"("maxBodyBytes":1000000,"headerTimeoutS":5,"idleTimeoutS":20}})");
 }
 
-task<> entry_world::ReportServers() {
+task<> entry_environment::ReportServers() {
   constexpr milliseconds kBeat{300};
   for (int sequence = 1;; ++sequence) {
     for (std::size_t i = 0; i < servers_.size(); ++i) {
@@ -136,7 +137,7 @@
   }
 }
 
-bool entry_world::IsServed(const std::string& pool) const {
+bool entry_environment::IsServed(const std::string& pool) const {
   const send_result r =
       SendOnce(Address(kFrontPort),
                {"GET",
@@ -147,12 +148,12 @@
   return r.ok() && r.answer.status == 200;
 }
 
-bool entry_world::AwaitServing() {
+bool entry_environment::AwaitServing() {
   return harness::WaitFor(
       kStartTimeout, [this] { return IsServed("wide") && IsServed("narrow"); });
 }
 
-int entry_world::Connect(const std::string& bytes) const {
+int entry_environment::Connect(const std::string& bytes) const {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in to{};
   to.sin_family = AF_INET;
@@ -170,7 +171,7 @@
   return fd;
 }
 
-bool entry_world::has_exceeded_slots() const {
+bool entry_environment::has_exceeded_slots() const {
   return std::any_of(servers_.begin(), servers_.end(), [](const auto& server) {
     return server->peak() > server->options().slots;
   });
@@ -193,4 +194,4 @@
   return fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body, content);
 }
 
-}  // namespace dotterellead::left_callers
+}  // namespace dotterellead::disconnects
--- a/tests/left_callers/entry_world.h
+++ b/tests/disconnects/entry_environment.h
@@ -1,6 +1,6 @@
 // `dotterellead entry` between callers and servers of the test.
-#ifndef TESTS_LEFT_CALLERS_ENTRY_WORLD_H_
-#define TESTS_LEFT_CALLERS_ENTRY_WORLD_H_
+#ifndef TESTS_DISCONNECTS_ENTRY_ENVIRONMENT_H_
+#define TESTS_DISCONNECTS_ENTRY_ENVIRONMENT_H_
 
 #include <memory>
 #include <string>
@@ -11,16 +11,16 @@
 #include "store_standin.h"
 #include "watched_server.h"
 
-namespace dotterellead::left_callers {
+namespace dotterellead::disconnects {
 
 // One host and two pools of servers: "wide" has a slot for each request of the
 // test, "narrow" has two in all.
-class entry_world {
+class entry_environment {
  public:
-  entry_world(const std::string& binary, bool servers_drop_at_close);
-  ~entry_world();
-  entry_world(const entry_world&) = delete;
-  entry_world& operator=(const entry_world&) = delete;
+  entry_environment(const std::string& binary, bool servers_drop_at_close);
+  ~entry_environment();
+  entry_environment(const entry_environment&) = delete;
+  entry_environment& operator=(const entry_environment&) = delete;
 
   // False if the host does not serve both pools.
   bool AwaitServing();
@@ -55,6 +55,6 @@
                     std::size_t body = 0,
                     bool is_chunked = false);
 
-}  // namespace dotterellead::left_callers
+}  // namespace dotterellead::disconnects
 
-#endif  // TESTS_LEFT_CALLERS_ENTRY_WORLD_H_
+#endif  // TESTS_DISCONNECTS_ENTRY_ENVIRONMENT_H_
--- a/tests/left_callers/watched_server.cc
+++ b/tests/disconnects/watched_server.cc
@@ -6,11 +6,11 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 
-namespace dotterellead::left_callers {
+namespace dotterellead::disconnects {
 
 namespace {
 
-// How often a connection is looked at during the work.
+// How often a connection is checked during the work.
 constexpr milliseconds kInterval{2};
 // Small, so that an unread body waits at the host.
 constexpr int kReceiveBuffer = 4'096;
@@ -172,4 +172,4 @@
   co_return true;
 }
 
-}  // namespace dotterellead::left_callers
+}  // namespace dotterellead::disconnects
--- a/tests/left_callers/watched_server.h
+++ b/tests/disconnects/watched_server.h
@@ -1,7 +1,7 @@
 // A backend server that records when requests reach it, when their connections
 // close, and for how long it works on them.
-#ifndef TESTS_LEFT_CALLERS_WATCHED_SERVER_H_
-#define TESTS_LEFT_CALLERS_WATCHED_SERVER_H_
+#ifndef TESTS_DISCONNECTS_WATCHED_SERVER_H_
+#define TESTS_DISCONNECTS_WATCHED_SERVER_H_
 
 #include <atomic>
 #include <mutex>
@@ -10,7 +10,7 @@
 
 #include "standin_net.h"
 
-namespace dotterellead::left_callers {
+namespace dotterellead::disconnects {
 
 // One request at one server.
 struct server_run {
@@ -45,7 +45,7 @@
   int port = 0;
   int slots = 1;
   // Whether the server ends its work once the connection is closed. Otherwise
-  // it does not look at the connection during its work.
+  // it does not check the connection during its work.
   bool drops_at_close = true;
 };
 
@@ -89,6 +89,6 @@
   std::atomic<int> peak_ = 0;
 };
 
-}  // namespace dotterellead::left_callers
+}  // namespace dotterellead::disconnects
 
-#endif  // TESTS_LEFT_CALLERS_WATCHED_SERVER_H_
+#endif  // TESTS_DISCONNECTS_WATCHED_SERVER_H_
--- a/tests/system/system_leaving_test.cc
+++ b/tests/system/system_disconnect_test.cc
@@ -1,4 +1,4 @@
-// Callers of the standalone mode that leave before their response.
+// Callers of the standalone mode that disconnect before their response.
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
@@ -25,7 +25,7 @@
                                      .slots = kSlots,
                                      .cold_slots = kSlots,
                                      .max_run_ms = 5'000}},
-                          .log_folder = "out-leaving"};
+                          .log_folder = "out-disconnect"};
   for (const char* data_centre : {"a", "b", "c"})
     options.servers.push_back(
         {.pool = "pay",
@@ -50,13 +50,13 @@
 
 enum class ending { kClose, kSendingSide, kReset };
 
-struct leave_case {
+struct disconnect_case {
   std::string name;
   // At each host.
   int callers = 4;
   // On each connection.
   int requests = 1;
-  // All use the first host, which passes those beyond its slots on.
+  // All use the first host, which forwards those beyond its slots.
   bool uses_one_host = false;
   ending how = ending::kClose;
   std::size_t body = 0;
@@ -64,12 +64,12 @@
   std::size_t unsent = 0;
 };
 
-const leave_case kCases[] = {
+const disconnect_case kCases[] = {
     {.name = "first"},
     {.name = "half a close", .how = ending::kSendingSide},
     {.name = "reset", .how = ending::kReset},
     {.name = "ahead", .requests = 3},
-    {.name = "passed on to other hosts", .callers = 40, .uses_one_host = true},
+    {.name = "forwarded to other hosts", .callers = 40, .uses_one_host = true},
     {.name = "queued", .callers = 30},
     {.name = "queued, ahead, reset",
      .callers = 30,
@@ -79,23 +79,23 @@
     {.name = "unfinished body", .body = 900'000, .unsent = 1'000},
 };
 
-std::vector<int> ConnectAll(const cluster& c, const leave_case& leave) {
+std::vector<int> ConnectAll(const cluster& c, const disconnect_case& row) {
   const std::string request =
       "GET /pay/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-      std::to_string(leave.body) + "\r\n\r\n" + std::string(leave.body, 'b');
+      std::to_string(row.body) + "\r\n\r\n" + std::string(row.body, 'b');
   std::string bytes;
-  for (int i = 0; i < leave.requests; ++i)
+  for (int i = 0; i < row.requests; ++i)
     bytes += request;
-  bytes.resize(bytes.size() - leave.unsent);
+  bytes.resize(bytes.size() - row.unsent);
   std::vector<int> callers;
-  const std::size_t hosts = leave.uses_one_host ? 1 : c.entry_host_count();
-  for (int i = 0; i < leave.callers; ++i)
+  const std::size_t hosts = row.uses_one_host ? 1 : c.entry_host_count();
+  for (int i = 0; i < row.callers; ++i)
     for (std::size_t host = 0; host < hosts; ++host)
       callers.push_back(Connect(c.caller_address(host), bytes));
   return callers;
 }
 
-void Leave(int fd, ending how) {
+void Disconnect(int fd, ending how) {
   const linger reset{1, 0};
   if (how == ending::kReset)
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -118,17 +118,17 @@
 
 }  // namespace
 
-// Guards against servers that work, or get requests, for callers that have
-// left, on each path through one or two hosts.
-TEST_CASE("no server works for callers that have left") {
+// Guards against servers that work, or receive requests, for callers that have
+// disconnected, on each path through one or two hosts.
+TEST_CASE("no server works for callers that have disconnected") {
   cluster c(ThreeHosts());
   c.Start();
-  for (const leave_case& leave : kCases) {
-    CAPTURE(leave.name);
+  for (const disconnect_case& row : kCases) {
+    CAPTURE(row.name);
     c.ControlAllBackends(R"({"reset_ledger":1})");
-    const std::vector<int> callers = ConnectAll(c, leave);
+    const std::vector<int> callers = ConnectAll(c, row);
     const int expected =
-        leave.unsent > 0
+        row.unsent > 0
             ? 0
             : std::min(static_cast<int>(callers.size()), kServers * kSlots);
     const bool has_arrived = WaitFor(milliseconds(400), [&] {
@@ -136,7 +136,7 @@
     });
     const int arrived = c.TotalLedger().arrivals;
     for (const int fd : callers)
-      Leave(fd, leave.how);
+      Disconnect(fd, row.how);
     CHECK(has_arrived);
     CHECK(WaitFor(kMaxWorkAfterClose,
                   [&] { return c.TotalLedger().in_flight == 0; }));
@@ -145,7 +145,7 @@
     CHECK(end.in_flight == 0);
     CHECK(end.arrivals == arrived);
     CHECK(end.cancelled == arrived);
-    if (leave.how == ending::kSendingSide)
+    if (row.how == ending::kSendingSide)
       for (const int fd : callers)
         close(fd);
   }
