--- a/tests/disconnects/disconnects_main.cc
+++ b/tests/disconnects/disconnects_main.cc
@@ -21,6 +21,7 @@
 constexpr int kMaxWorkedOnPart = 4;
 
 constexpr milliseconds kConnectedTime{150};
+constexpr milliseconds kMaxSetupTime{800};
 
 enum class ending { kClose, kSendingSide, kReset };
 
@@ -190,6 +191,7 @@
       holders.push_back(Hold(c, "holder", i));
     if (c.holders > 0)
       std::this_thread::sleep_for(kConnectedTime);
+    const std::size_t first_run = environment_.log().runs().size();
     std::vector<int> callers;
     for (int i = 0; i < c.callers; ++i) {
       callers.push_back(environment_.Connect(BytesOf(c, i)));
@@ -198,6 +200,11 @@
         std::this_thread::sleep_for(milliseconds(1));
     }
     std::this_thread::sleep_for(kConnectedTime);
+    // A host beside other processes may need longer.
+    harness::WaitFor(kMaxSetupTime, [&] {
+      return environment_.log().runs().size() >=
+             first_run + static_cast<std::size_t>(c.runs);
+    });
     // While the host is stopped, the closes wait for it together.
     if (c.is_at_once)
       environment_.host().Signal(SIGSTOP);
